Add the HTTP/1.1 server and client on Netty

Cause: every process needs HTTP towards callers, targets, the object API and operators. Change: a server with bounds on connections, heads, bodies, held bytes and time for one request, and a drain for shutdown; a client with pooled connections that tells a request that was not sent from one without an answer. Conclusion: hostile framing is refused with 400, 413 or 431; a broken-off answer is an error on the client's side.

--- a/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/HttpMessages.kt
+++ b/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/HttpMessages.kt
@@ -6,6 +6,7 @@
 
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.flowOf
+import java.io.ByteArrayOutputStream
 
 /** Holds header fields in order; names compare without regard to case. */
 data class HttpHeaders(
@@ -32,6 +33,8 @@
     val body: ByteArray = ByteArray(0),
     /** The path with the query as the caller sent it. */
     val rawUri: String = path,
+    /** All values of each query parameter. */
+    val queryLists: Map<String, List<String>> = query.mapValues { listOf(it.value) },
 )
 
 /** Describes one answer. The body of a server's answer may be collected once. */
@@ -51,6 +54,16 @@
     headers: HttpHeaders = HttpHeaders(),
 ): HttpAnswer = HttpAnswer(status, headers + ("content-type" to contentType), flowOf(body), body.size.toLong())
 
+/** Collects the whole body; throws [HttpBodyException] when it breaks off or is longer than [limit] bytes. */
+suspend fun HttpAnswer.bytes(limit: Int = 16 * 1_048_576): ByteArray {
+    val out = ByteArrayOutputStream()
+    body.collect {
+        if (out.size() + it.size > limit) throw HttpBodyException("the body is longer than $limit bytes")
+        out.write(it)
+    }
+    return out.toByteArray()
+}
+
 /** Answers requests of one server. A thrown exception becomes a 500 answer, or ends the connection once the answer has started. */
 fun interface HttpHandler {
     suspend fun handle(request: HttpRequest): HttpAnswer
--- a/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/HttpServer.kt
+++ b/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/HttpServer.kt
@@ -10,6 +10,8 @@
     val maxBodyBytes: Int = 1_048_576,
     val readTimeoutMs: Long = 10_000,
     val idleTimeoutMs: Long = 60_000,
+    /** Bytes of request bodies held at the same time over all connections; further requests are refused with 503. */
+    val maxBufferedBytes: Long = 32L * 1_048_576,
 )
 
 /** Serves one address. */
@@ -20,6 +22,9 @@
     /** Number of requests being answered. */
     fun running(): Int
 
+    /** Answers from now on with `Connection: close`, so that callers move away, while still accepting connections. */
+    fun beginClosing()
+
     /** Stops accepting connections, closes idle ones and waits up to [timeoutMs] milliseconds for running requests. Returns whether all ended. */
     suspend fun drain(timeoutMs: Long): Boolean
 }
--- /dev/null
+++ b/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/NettySupport.kt
@@ -0,0 +1,49 @@
+/*
+ * What the HTTP server and client share: the event loops, waiting for Netty futures from coroutines, and address parsing.
+ */
+package io.skylarkstile.transport.http
+
+import io.netty.channel.ChannelFuture
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.util.concurrent.DefaultThreadFactory
+import kotlinx.coroutines.suspendCancellableCoroutine
+import java.net.InetSocketAddress
+import kotlin.coroutines.resume
+import kotlin.coroutines.resumeWithException
+
+/** Event loop threads of a process. Handlers run on coroutine threads, so the loops only move bytes. */
+private const val EVENT_LOOP_THREADS = 4
+
+internal val eventLoops: EventLoopGroup by lazy {
+    MultiThreadIoEventLoopGroup(EVENT_LOOP_THREADS, DefaultThreadFactory("http-loop", true), NioIoHandler.newFactory())
+}
+
+/** Waits for the operation to end; throws its cause when it failed. */
+internal suspend fun ChannelFuture.await() {
+    if (isDone) {
+        if (!isSuccess) throw cause()
+        return
+    }
+    suspendCancellableCoroutine { c ->
+        addListener { f -> if (f.isSuccess) c.resume(Unit) else c.resumeWithException(f.cause()) }
+    }
+}
+
+/**
+ * Parses `ip:port` into a socket address.
+ *
+ * @throws IllegalArgumentException when [address] has another form
+ */
+fun socketAddress(address: String): InetSocketAddress {
+    val port = address.substringAfterLast(':').toIntOrNull()
+    val host = address.substringBeforeLast(':', "").removePrefix("[").removeSuffix("]")
+    require(host.isNotEmpty() && port != null && port in 0..MAX_PORT) { "'$address' is not an address of the form ip:port" }
+    return InetSocketAddress(host, port)
+}
+
+/** Returns the address in the form `ip:port`. */
+internal fun InetSocketAddress.text(): String = "${address.hostAddress}:$port"
+
+private const val MAX_PORT = 65_535
--- /dev/null
+++ b/skylarkstile-transport/src/test/kotlin/io/skylarkstile/transport/http/HttpServerSpec.kt
@@ -0,0 +1,177 @@
+/*
+ * Drives the HTTP server with the own client and with raw sockets that send broken or hostile input.
+ */
+package io.skylarkstile.transport.http
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldStartWith
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.flow.take
+import kotlinx.coroutines.flow.toList
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeout
+import java.net.Socket
+
+private val SMALL =
+    HttpServerLimits(maxConnections = 20, maxHeaderBytes = 2_048, maxBodyBytes = 4_096, readTimeoutMs = 300, idleTimeoutMs = 2_000)
+
+class HttpServerSpec :
+    FunSpec({
+        val client = httpClient(connectTimeoutMs = 500)
+        val ended = CompletableDeferred<Unit>()
+        val server =
+            httpServer("127.0.0.1:0", SMALL) { request ->
+                when (request.path) {
+                    "/echo" -> wholeAnswer(200, "text/plain", request.body)
+                    "/slow" -> wholeAnswer(200, "text/plain", "late".toByteArray()).also { delay(400) }
+                    "/stream" ->
+                        HttpAnswer(
+                            200,
+                            headersOf("content-type" to "text/event-stream"),
+                            flow { repeat(5) { emit("part$it;".toByteArray()) } },
+                        )
+                    "/broken" ->
+                        HttpAnswer(
+                            200,
+                            HttpHeaders(),
+                            flow {
+                                emit("half".toByteArray())
+                                error("stops here")
+                            },
+                        )
+                    "/forever" ->
+                        HttpAnswer(
+                            200,
+                            HttpHeaders(),
+                            flow {
+                                emit("x".toByteArray())
+                                try {
+                                    awaitCancellation()
+                                } finally {
+                                    ended.complete(Unit)
+                                }
+                            },
+                        )
+                    else -> wholeAnswer(404, "text/plain", ByteArray(0))
+                }
+            }
+        afterSpec {
+            client.close()
+            server.close()
+        }
+
+        suspend fun call(
+            method: String,
+            path: String,
+            body: String = "",
+        ) = client.call(server.address, HttpRequest(method, path, body = body.toByteArray()), 2_000, idempotent = true)
+
+        fun raw(
+            text: String,
+            waitMs: Int = 1_500,
+        ): String = Socket("127.0.0.1", server.address.substringAfter(':').toInt()).use { s ->
+            s.soTimeout = waitMs
+            s.getOutputStream().write(text.toByteArray(Charsets.ISO_8859_1))
+            s.getOutputStream().flush()
+            runCatching { s.getInputStream().readAllBytes().decodeToString() }.getOrElse { "no end: ${it.message}" }
+        }
+
+        test("echoes bodies over reused connections") {
+            repeat(50) { i -> call("POST", "/echo", "body $i").get()!!.bytes().decodeToString() shouldBe "body $i" }
+        }
+
+        test("passes a streamed answer on whole") {
+            call("GET", "/stream").get()!!.bytes().decodeToString() shouldBe "part0;part1;part2;part3;part4;"
+        }
+
+        test("shows a broken-off answer as an error instead of a short body") {
+            runCatching { call("GET", "/broken").get()!!.bytes() }.exceptionOrNull().shouldBeInstanceOf<HttpBodyException>()
+        }
+
+        test("reports a refused connection as not sent and a silent server as no answer") {
+            val free = httpServer("127.0.0.1:0") { wholeAnswer(200, "text/plain", ByteArray(0)) }.also { it.close() }
+            // The kernel goes on accepting until the selector has let go of the closed listener.
+            delay(100)
+            client.call(free.address, HttpRequest("POST", "/"), 500).getError().shouldBeInstanceOf<HttpFailure.NotSent>()
+            client.call(server.address, HttpRequest("POST", "/slow"), 100).getError().shouldBeInstanceOf<HttpFailure.NoAnswer>()
+            client
+                .call(
+                    server.address,
+                    HttpRequest("POST", "/echo"),
+                    500,
+                    beforeSend = { false },
+                ).getError()
+                .shouldBeInstanceOf<HttpFailure.NotSent>()
+        }
+
+        test("cancels the handler when the caller goes away") {
+            val job =
+                launch {
+                    client
+                        .call(server.address, HttpRequest("GET", "/forever"), 5_000)
+                        .get()!!
+                        .body
+                        .take(1)
+                        .toList()
+                }
+            withTimeout(3_000) { ended.await() }
+            job.cancel()
+        }
+
+        test("refuses a request that has both a length and chunks, since a second server could read a second request in it") {
+            raw(
+                "POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+            ) shouldStartWith
+                "HTTP/1.1 400"
+        }
+
+        test("refuses two different lengths") {
+            raw("POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!") shouldStartWith "HTTP/1.1 400"
+        }
+
+        test("refuses a head and a body over their bounds") {
+            raw("GET /echo HTTP/1.1\r\nX-Long: ${"a".repeat(4_000)}\r\n\r\n") shouldStartWith "HTTP/1.1 431"
+            raw("POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\n") shouldStartWith "HTTP/1.1 413"
+            raw(
+                "POST /echo HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n1400\r\n${"b".repeat(0x1400)}\r\n0\r\n\r\n",
+            ) shouldStartWith
+                "HTTP/1.1 413"
+        }
+
+        test("closes a connection whose request arrives too slowly") {
+            raw("POST /echo HTTP/1.1\r\nHost: x\r\nContent-Le") shouldBe ""
+        }
+
+        test("answers others while a flood holds every further connection back") {
+            val flood = List(40) { Socket("127.0.0.1", server.address.substringAfter(':').toInt()) }
+            flood.forEach { it.close() }
+            withTimeout(3_000) {
+                while (call("POST", "/echo", "after").get()?.bytes()?.decodeToString() != "after") delay(20)
+            }
+        }
+
+        test("drains without cutting the running answer") {
+            val other = httpServer("127.0.0.1:0") { wholeAnswer(200, "text/plain", "done".toByteArray()).also { delay(300) } }
+            val result = CompletableDeferred<String>()
+            launch {
+                result.complete(
+                    client
+                        .call(other.address, HttpRequest("GET", "/"), 2_000)
+                        .get()!!
+                        .bytes()
+                        .decodeToString(),
+                )
+            }
+            while (other.running() == 0) delay(5)
+            other.drain(2_000) shouldBe true
+            result.await() shouldBe "done"
+            other.close()
+        }
+    })
