--- /dev/null
+++ b/skylarkstile-config/src/main/kotlin/io/skylarkstile/config/record/RecordKind.kt
@@ -0,0 +1,50 @@
+/*
+ * The kinds of records and the schema of each form that can be read. Forms of several schema versions are read side by side,
+ * so that a fleet of mixed releases and records of different age work together.
+ */
+package io.skylarkstile.config.record
+
+import io.skylarkstile.config.schema.ObjectSchema
+import io.skylarkstile.config.schema.objectSchema
+
+/**
+ * Names a kind of record. [label] is the kind in the object API and in section headers. The order is the order of writing:
+ * a record comes after those it needs, and versions come before adapters so that no adapter activates a missing version.
+ */
+enum class RecordKind(
+    val label: String,
+    private val forms: Map<Int, String>,
+) {
+    WORKSPACE("workspace", mapOf(1 to "WorkspaceRecordV1", 2 to "WorkspaceRecord")),
+    TARGET("target", mapOf(1 to "TargetRecord")),
+    VERSION("version", mapOf(1 to "VersionRecord")),
+    ADAPTER("adapter", mapOf(1 to "AdapterRecord")),
+    KEY("key", mapOf(1 to "KeyRecord")),
+    ROUTE("route", mapOf(1 to "RouteRecord")),
+    ;
+
+    /** Schema versions that can be read, oldest first. */
+    val schemaVersions: List<Int> get() = forms.keys.sorted()
+
+    /** Schema version of new records. */
+    val currentSchemaVersion: Int get() = forms.keys.max()
+
+    /** Returns the schema of [schemaVersion]. */
+    fun schemaOrNull(schemaVersion: Int): ObjectSchema? = forms[schemaVersion]?.let(::objectSchema)
+
+    companion object {
+        /** Labels of all kinds, as the object API names them. */
+        val labels: List<String> = entries.map { it.label }
+
+        /** Returns the kind with [label]. */
+        fun ofLabelOrNull(label: String): RecordKind? = entries.firstOrNull { it.label == label }
+    }
+}
+
+/** Names a record. */
+data class RecordId(
+    val kind: RecordKind,
+    val name: String,
+) {
+    override fun toString(): String = "${kind.label} $name"
+}
