--- /dev/null
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/CompletionBody.kt
@@ -0,0 +1,53 @@
+/*
+ * Reads the parts of a completion request that decisions depend on, and completes the body for the target.
+ */
+package io.skylarkstile.entry.front
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.booleanOrNull
+import kotlinx.serialization.json.intOrNull
+
+/** A checked completion request. [body] names [maxTokens] and a seed, so that the answer stays within the reservation and can be resumed. */
+internal class CompletionBody(
+    val model: String,
+    val maxTokens: Int,
+    val stream: Boolean,
+    val body: ByteArray,
+)
+
+private const val MAX_TOKENS_LIMIT = 1_000_000
+
+/** Parses [bytes]; the error is a sentence for the caller. [seed] is used when the request names none. */
+internal fun parseCompletion(
+    bytes: ByteArray,
+    defaultMaxTokens: Int,
+    seed: Int,
+): Result<CompletionBody, String> {
+    val json =
+        try {
+            Json.parseToJsonElement(bytes.decodeToString(throwOnInvalidSequence = true)) as? JsonObject
+        } catch (e: SerializationException) {
+            return Err("the body is not valid JSON: ${e.message?.lineSequence()?.first()}")
+        } catch (_: CharacterCodingException) {
+            return Err("the body is not valid UTF-8")
+        } ?: return Err("the body is not a JSON object")
+    val model = (json["model"] as? JsonPrimitive)?.takeIf { it.isString }?.content ?: return Err("'model' is missing or not a string")
+    if (json["prompt"] == null && json["messages"] == null) return Err("'prompt' or 'messages' is missing")
+    if (count(json["n"]) ?: 1 != 1 || count(json["best_of"]) ?: 1 != 1) return Err("'n' and 'best_of' other than 1 are not supported")
+    val named = json["max_completion_tokens"] ?: json["max_tokens"]
+    val maxTokens = if (named == null) defaultMaxTokens else count(named) ?: 0
+    if (maxTokens !in 1..MAX_TOKENS_LIMIT) return Err("'max_tokens' is not a whole number from 1 to $MAX_TOKENS_LIMIT")
+    val stream = json["stream"]?.let { (it as? JsonPrimitive)?.booleanOrNull ?: return Err("'stream' is not true or false") } ?: false
+    val completed =
+        json - "max_completion_tokens" + mapOf("max_tokens" to JsonPrimitive(maxTokens), "seed" to (json["seed"] ?: JsonPrimitive(seed)))
+    return Ok(CompletionBody(model, maxTokens, stream, JsonObject(completed).toString().toByteArray()))
+}
+
+private fun count(value: JsonElement?): Int? = (value as? JsonPrimitive)?.takeIf { !it.isString }?.intOrNull
--- /dev/null
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/Front.kt
@@ -0,0 +1,111 @@
+/*
+ * The front that callers talk to: it identifies the caller and hands the request to the part that answers it.
+ */
+package io.skylarkstile.entry.front
+
+import io.skylarkstile.core.cluster.ClusterView
+import io.skylarkstile.core.snapshot.SnapshotSource
+import io.skylarkstile.schema.generated.Member
+import io.skylarkstile.schema.recordJson
+import io.skylarkstile.transport.http.HttpAnswer
+import io.skylarkstile.transport.http.HttpHandler
+import io.skylarkstile.transport.http.HttpRequest
+import io.skylarkstile.transport.http.wholeAnswer
+import kotlinx.serialization.Serializable
+
+@Serializable
+internal data class AddressAnswer(
+    val addresses: List<String>,
+    val ttlMs: Int,
+)
+
+@Serializable
+internal data class ModelList(
+    val data: List<ModelLine>,
+) {
+    @Suppress("ktlint:standard:property-naming")
+    val `object`: String = "list"
+}
+
+@Serializable
+internal data class ModelLine(
+    val id: String,
+)
+
+internal class Front(
+    private val snapshots: SnapshotSource,
+    private val verifier: KeyVerifier,
+    private val cluster: ClusterView,
+    private val runner: ModelRunner,
+    private val models: ModelCalls,
+    private val services: ServiceCalls,
+    private val addressTtlMs: Int,
+    private val notReady: () -> String?,
+) : HttpHandler {
+    override suspend fun handle(request: HttpRequest): HttpAnswer {
+        val ids = requestIds(request)
+        val answer = route(request, ids)
+        return HttpAnswer(answer.status, answer.headers + ("x-request-id" to ids.requestId), answer.body, answer.length)
+    }
+
+    private suspend fun route(
+        request: HttpRequest,
+        ids: RequestIds,
+    ): HttpAnswer {
+        val snapshot = snapshots.current()
+        if (snapshot.revision == 0L) return unready("no configuration has been read yet").answer(ids.requestId)
+        val caller = verifier.callerOrNull(snapshot, request) ?: return unauthorized().answer(ids.requestId)
+        if (request.path == "/v1/address") return address(request, ids, caller)
+        notReady()?.let { return unready(it).answer(ids.requestId) }
+        return when {
+            request.path == "/v1/models" -> only(request, "GET", ids) { models(caller) }
+            request.path == "/v1/completions" || request.path == "/v1/chat/completions" ->
+                only(request, "POST", ids) { models.answer(request, ids, caller, snapshot) }
+            request.path.startsWith("/svc/") -> services.answer(request, ids, caller, snapshot)
+            else -> notFound("there is nothing at ${request.path.take(MAX_SHOWN)}").answer(ids.requestId)
+        }
+    }
+
+    private inline fun only(
+        request: HttpRequest,
+        method: String,
+        ids: RequestIds,
+        answer: () -> HttpAnswer,
+    ): HttpAnswer = if (request.method == method) {
+        answer()
+    } else {
+        Problem(405, "method-not-allowed", "use $method for ${request.path}", Outcome.NotRun).answer(ids.requestId)
+    }
+
+    private fun models(caller: Caller): HttpAnswer {
+        val list = ModelList(snapshots.current().modelsFor(caller.workspaceOrNull).map { ModelLine(it) })
+        return wholeAnswer(200, "application/json", recordJson.encodeToString(ModelList.serializer(), list).toByteArray())
+    }
+
+    private fun address(
+        request: HttpRequest,
+        ids: RequestIds,
+        caller: Caller,
+    ): HttpAnswer {
+        val active = cluster.members().filter { it.state == Member.State.Active }
+        if (active.isEmpty()) return unready("no active instance is known").answer(ids.requestId)
+        val model = request.query["model"]?.let { snapshots.current().resolveModelOrNull(it, caller.workspaceOrNull) }
+        val owner = model?.let { runner.likelyOwnerOrNull(it.adapter, it.version) }
+        val own = cluster.members().firstOrNull { it.instance == cluster.self }?.dataCentre
+        val sorted =
+            active.sortedWith(
+                compareBy({
+                    it.instance != owner
+                }, { it.dataCentre != own }, { it.instance != cluster.self }, { it.instance }),
+            )
+        val answer = AddressAnswer(sorted.map { it.callerAddress }, addressTtlMs)
+        return wholeAnswer(200, "application/json", recordJson.encodeToString(AddressAnswer.serializer(), answer).toByteArray())
+    }
+
+    private fun unready(why: String) = Problem(503, "not-ready", why, Outcome.NotRun, RETRY_MS)
+
+    private companion object {
+        const val RETRY_MS = 1_000L
+        const val MAX_SHOWN = 100
+    }
+}
--- /dev/null
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/ModelCalls.kt
@@ -0,0 +1,252 @@
+/*
+ * Answers completion requests: resolves the model, admits the request, runs it and passes the answer on.
+ */
+package io.skylarkstile.entry.front
+
+import com.github.michaelbull.result.getOrElse
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.skylarkstile.core.dispatch.DispatchEvent
+import io.skylarkstile.core.limit.Admission
+import io.skylarkstile.core.limit.AdmissionLimiter
+import io.skylarkstile.core.snapshot.Snapshot
+import io.skylarkstile.schema.generated.Dispatch
+import io.skylarkstile.schema.generated.DispatchEnd
+import io.skylarkstile.transport.http.HttpAnswer
+import io.skylarkstile.transport.http.HttpRequest
+import io.skylarkstile.transport.http.headersOf
+import io.skylarkstile.transport.http.wholeAnswer
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.channels.ReceiveChannel
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.catch
+import kotlinx.coroutines.flow.channelFlow
+import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.flow.produceIn
+import kotlinx.coroutines.launch
+import java.io.ByteArrayOutputStream
+
+private val log = KotlinLogging.logger {}
+
+/** Settings of [ModelCalls]; times in milliseconds. */
+internal data class ModelCallSettings(
+    val defaultMaxTokens: Int,
+    val requestTimeoutMs: Long,
+)
+
+internal class ModelCalls(
+    private val limiter: AdmissionLimiter,
+    private val runner: ModelRunner,
+    private val running: RunningCalls,
+    private val metrics: FrontMetrics,
+    private val settings: ModelCallSettings,
+    private val clock: () -> Long,
+) {
+    suspend fun answer(
+        request: HttpRequest,
+        ids: RequestIds,
+        caller: Caller,
+        snapshot: Snapshot,
+    ): HttpAnswer {
+        val body =
+            parseCompletion(request.body, settings.defaultMaxTokens, ids.requestId.hashCode() and Int.MAX_VALUE)
+                .getOrElse { return badRequest(it).answer(ids.requestId) }
+        val model =
+            snapshot.resolveModelOrNull(body.model, caller.workspaceOrNull)
+                ?: return if (caller is Caller.Anonymous) {
+                    unauthorized().answer(
+                        ids.requestId,
+                    )
+                } else {
+                    unknownModel(body.model).answer(ids.requestId)
+                }
+        val admitted =
+            when (val a = limiter.admit(model.workspace, body.maxTokens)) {
+                is Admission.Refused -> return refused(a).also { metrics.refused(model.workspace, a.reason) }.answer(ids.requestId)
+                is Admission.Admitted -> a
+            }
+        val weight = snapshot.workspaces[model.workspace]?.weight ?: 1.0
+        return run(dispatch(request, ids, body, model, weight), ids, caller, model, admitted)
+    }
+
+    private fun dispatch(
+        request: HttpRequest,
+        ids: RequestIds,
+        body: CompletionBody,
+        model: ResolvedModel,
+        weight: Double,
+    ) = Dispatch(
+        requestId = ids.requestId,
+        target = "",
+        workspace = model.workspace,
+        weight = weight,
+        adapter = model.adapter,
+        version = model.version,
+        loraPath = model.path,
+        path = request.path,
+        body = body.body,
+        stream = body.stream,
+        deadlineMs = settings.requestTimeoutMs,
+        resumeFrom = 0,
+        traceparent = ids.traceparent,
+    )
+
+    private suspend fun run(
+        dispatch: Dispatch,
+        ids: RequestIds,
+        caller: Caller,
+        model: ResolvedModel,
+        admitted: Admission.Admitted,
+    ): HttpAnswer {
+        val call = running.begin((caller as? Caller.Known)?.keyId, (caller as? Caller.Known)?.workspace ?: model.workspace, clock())
+        val account = CallAccount(admitted, call)
+        val context = currentCoroutineContext()
+        // The request's job ends when the answer is written or the caller is gone, so nothing stays reserved after either.
+        context[Job]?.invokeOnCompletion { account.finish(null) }
+        val events =
+            runner
+                .run(dispatch)
+                .failuresAsEnd()
+                .endedBy(call.ended)
+                .produceIn(CoroutineScope(context))
+        val first = events.receiveOrEnd()
+        return when (first) {
+            is DispatchEvent.End -> {
+                account.finish(first.end)
+                events.cancel()
+                first.end.problem().answer(ids.requestId)
+            }
+            is DispatchEvent.Head if dispatch.stream && first.status == OK -> stream(first, events, account, ids)
+            else -> whole(first as DispatchEvent.Head, events, account, ids)
+        }
+    }
+
+    private fun stream(
+        head: DispatchEvent.Head,
+        events: ReceiveChannel<DispatchEvent>,
+        account: CallAccount,
+        ids: RequestIds,
+    ): HttpAnswer = HttpAnswer(
+        head.status,
+        headersOf("content-type" to head.contentType, "cache-control" to "no-cache"),
+        flow {
+            try {
+                while (true) {
+                    when (val event = events.receiveOrEnd()) {
+                        is DispatchEvent.Head -> Unit
+                        is DispatchEvent.Chunk -> {
+                            account.tokens.countEvents(event.data)
+                            emit(event.data)
+                        }
+                        is DispatchEvent.End -> {
+                            account.finish(event.end)
+                            if (event.end.outcome != DispatchEnd.Outcome.Done) emit(event.end.problem().event(ids.requestId))
+                            return@flow
+                        }
+                    }
+                }
+            } finally {
+                events.cancel()
+                account.finish(null)
+            }
+        },
+    )
+
+    private suspend fun whole(
+        head: DispatchEvent.Head,
+        events: ReceiveChannel<DispatchEvent>,
+        account: CallAccount,
+        ids: RequestIds,
+    ): HttpAnswer {
+        val body = ByteArrayOutputStream()
+        try {
+            while (true) {
+                when (val event = events.receiveOrEnd()) {
+                    is DispatchEvent.Head -> Unit
+                    is DispatchEvent.Chunk -> body.write(event.data)
+                    is DispatchEvent.End -> {
+                        account.tokens.countAnswer(body.toByteArray())
+                        account.finish(event.end)
+                        if (event.end.outcome != DispatchEnd.Outcome.Done) return event.end.problem().answer(ids.requestId)
+                        return wholeAnswer(head.status, head.contentType, body.toByteArray())
+                    }
+                }
+            }
+        } finally {
+            events.cancel()
+            account.finish(null)
+        }
+    }
+
+    /** Settles one call exactly once, whichever way it ends. */
+    private inner class CallAccount(
+        private val admitted: Admission.Admitted,
+        private val call: RunningCall,
+    ) {
+        val tokens = TokenCounter()
+        private var open = true
+
+        /** Settles with the [end] of the run, or with what was counted when the caller went away. */
+        @Synchronized
+        fun finish(end: DispatchEnd?) {
+            if (!open) return
+            open = false
+            running.end(call)
+            if (end?.outcome == DispatchEnd.Outcome.NotRun && tokens.tokens == 0) admitted.cancel() else admitted.settle(tokens.tokens)
+            metrics.finished(call.workspace, end?.outcome?.value ?: "cancelled", clock() - call.since, tokens.tokens)
+        }
+    }
+
+    private companion object {
+        const val OK = 200
+    }
+}
+
+/** Turns an exception of the run into an explicit end, so that the caller gets an error document. */
+private fun Flow<DispatchEvent>.failuresAsEnd(): Flow<DispatchEvent> = catch { e ->
+    log.error(e) { "running a model request failed" }
+    emit(DispatchEvent.End(DispatchEnd(DispatchEnd.Outcome.Unknown, reason = "internal-error", detail = "the run failed")))
+}
+
+private suspend fun ReceiveChannel<DispatchEvent>.receiveOrEnd(): DispatchEvent = receiveCatching().getOrNull()
+    ?: DispatchEvent.End(
+        DispatchEnd(DispatchEnd.Outcome.Unknown, reason = "internal-error", detail = "the run ended without an outcome"),
+    )
+
+/** Ends the flow early with the problem that [signal] brings. */
+private fun Flow<DispatchEvent>.endedBy(signal: CompletableDeferred<Problem>): Flow<DispatchEvent> = channelFlow {
+    val source = launch { collect { send(it) } }
+    val watcher =
+        launch {
+            val problem = signal.await()
+            source.cancel()
+            send(DispatchEvent.End(DispatchEnd(DispatchEnd.Outcome.Unknown, reason = problem.code, detail = problem.detail)))
+            channel.close()
+        }
+    source.join()
+    if (!signal.isCompleted) watcher.cancel()
+}
+
+private fun unknownModel(model: String) = notFound("there is no model '${model.take(MAX_SHOWN)}' for this key")
+
+private const val MAX_SHOWN = 100
+
+private fun refused(refusal: Admission.Refused): Problem {
+    val status = if (refusal.reason == "no-lease") 503 else 429
+    return Problem(status, refusal.reason, "the request was not admitted: ${refusal.reason}", Outcome.NotRun, refusal.retryAfterMs)
+}
+
+internal fun DispatchEnd.problem(): Problem {
+    val code = reason ?: "target-failed"
+    val text = detail ?: "the request ended without a complete answer"
+    return when {
+        code == "key-withdrawn" -> Problem(401, code, text, Outcome.Unknown)
+        outcome == DispatchEnd.Outcome.NotRun -> Problem(503, code, text, Outcome.NotRun, retryAfterMs ?: DEFAULT_RETRY_MS)
+        code == "deadline" -> Problem(504, code, text, Outcome.Unknown)
+        else -> Problem(502, code, text, Outcome.Unknown)
+    }
+}
+
+private const val DEFAULT_RETRY_MS = 1_000L
--- /dev/null
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/Problem.kt
@@ -0,0 +1,59 @@
+/*
+ * Errors towards callers: RFC 9457 problem documents with a machine-readable outcome.
+ */
+package io.skylarkstile.entry.front
+
+import io.skylarkstile.schema.recordJson
+import io.skylarkstile.transport.http.HttpAnswer
+import io.skylarkstile.transport.http.HttpHeaders
+import io.skylarkstile.transport.http.wholeAnswer
+import kotlinx.serialization.Serializable
+
+/** States what is known about the call's execution. [Done] appears only when an answer exists but is no longer kept. */
+internal enum class Outcome(
+    val text: String,
+) {
+    NotRun("not-run"),
+    Unknown("unknown"),
+    Done("done"),
+}
+
+/** Describes one error; [code] is stable and meant for programs, [detail] for people. */
+internal data class Problem(
+    val status: Int,
+    val code: String,
+    val detail: String,
+    val outcome: Outcome,
+    val retryAfterMs: Long? = null,
+)
+
+@Serializable
+internal data class ProblemDocument(
+    val type: String,
+    val title: String,
+    val status: Int,
+    val detail: String,
+    val outcome: String,
+    val requestId: String,
+)
+
+internal fun Problem.document(requestId: String): String = recordJson.encodeToString(
+    ProblemDocument.serializer(),
+    ProblemDocument("urn:skylarkstile:problem:$code", code.replace('-', ' '), status, detail, outcome.text, requestId),
+)
+
+internal fun Problem.answer(requestId: String): HttpAnswer {
+    val retry = retryAfterMs?.let { HttpHeaders(listOf("retry-after" to ((it + MS_PER_SECOND - 1) / MS_PER_SECOND).toString())) }
+    return wholeAnswer(status, "application/problem+json", document(requestId).toByteArray(), retry ?: HttpHeaders())
+}
+
+/** Encodes the problem as the last event of a stream, which then ends without `[DONE]`. */
+internal fun Problem.event(requestId: String): ByteArray = "event: error\ndata: ${document(requestId)}\n\n".toByteArray()
+
+internal fun badRequest(detail: String): Problem = Problem(400, "bad-request", detail, Outcome.NotRun)
+
+internal fun notFound(detail: String): Problem = Problem(404, "not-found", detail, Outcome.NotRun)
+
+internal fun unauthorized(): Problem = Problem(401, "key-not-accepted", "the key is missing, unknown or withdrawn", Outcome.NotRun)
+
+private const val MS_PER_SECOND = 1_000L
--- /dev/null
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/RunningCalls.kt
@@ -0,0 +1,51 @@
+/*
+ * The calls that this instance is answering, so that a withdrawn key or a lost lease can end them.
+ */
+package io.skylarkstile.entry.front
+
+import io.skylarkstile.core.snapshot.Snapshot
+import kotlinx.coroutines.CompletableDeferred
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+
+/** One running call. [ended] is completed with the problem that ends it early. */
+internal class RunningCall(
+    val id: Long,
+    val keyId: String?,
+    val workspace: String,
+    val since: Long,
+) {
+    val ended = CompletableDeferred<Problem>()
+}
+
+internal class RunningCalls {
+    private val calls = ConcurrentHashMap<Long, RunningCall>()
+    private val ids = AtomicLong()
+
+    val count: Int get() = calls.size
+
+    fun begin(
+        keyId: String?,
+        workspace: String,
+        now: Long,
+    ): RunningCall = RunningCall(ids.incrementAndGet(), keyId, workspace, now).also { calls[it.id] = it }
+
+    fun end(call: RunningCall) {
+        calls.remove(call.id)
+    }
+
+    /** Ends the calls whose key [snapshot] no longer accepts; returns their number. */
+    fun endWithdrawn(snapshot: Snapshot): Int = calls.values.count { call ->
+        val key = call.keyId ?: return@count false
+        val accepted = snapshot.keys[key]?.let { !it.withdrawn && it.workspace == call.workspace } ?: false
+        !accepted && call.ended.complete(KEY_WITHDRAWN)
+    }
+
+    /** Ends all calls, since this instance can no longer notice withdrawn keys. */
+    fun endIsolated(): Int = calls.values.count { it.ended.complete(ISOLATED) }
+
+    private companion object {
+        val KEY_WITHDRAWN = Problem(401, "key-withdrawn", "the key was withdrawn while the answer was running", Outcome.Unknown)
+        val ISOLATED = Problem(503, "instance-isolated", "this instance has lost contact with the platform and its peers", Outcome.Unknown)
+    }
+}
