--- /dev/null
+++ b/skylarkstile-ctl/src/main/kotlin/io/skylarkstile/ctl/main/CommandLine.kt
@@ -0,0 +1,184 @@
+/*
+ * Parses the command line with kotlinx-cli.
+ */
+package io.skylarkstile.ctl.main
+
+import io.skylarkstile.config.record.RecordId
+import io.skylarkstile.config.record.RecordKind
+import io.skylarkstile.config.record.isRecordName
+import io.skylarkstile.config.schema.isAddress
+import io.skylarkstile.config.schema.isName
+import io.skylarkstile.ctl.command.Command
+import io.skylarkstile.ctl.command.ExitCode
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.multiple
+import kotlinx.cli.required
+import kotlinx.cli.vararg
+import java.nio.file.Path
+
+/** Holds a parsed command line; [platform] is absent when `check` is used without one. */
+internal class Invocation(
+    val platform: String?,
+    val timeoutMs: Long,
+    val command: Command,
+)
+
+/** Ends parsing: with the help text and code 0, or with a fault and code 2. */
+internal class ParseEnd(
+    override val message: String,
+    val exit: ExitCode,
+) : Exception(message)
+
+/** Parses [args], or throws [ParseEnd]. */
+internal fun parseCommandLine(args: Array<String>): Invocation {
+    val parser = ArgParser("skylarkctl")
+    val platform by parser.option(ArgType.String, "platform", "p", "Address of the object API, ip:port")
+    val timeoutMs by parser.option(ArgType.Int, "timeout-ms", description = "Time limit of one call in milliseconds (default 3000)")
+    val subcommands = subcommands()
+    (listOf(parser) + subcommands).forEach(::endByException)
+    parser.subcommands(*subcommands.toTypedArray())
+    subcommands.forEach(::endByException)
+    parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
+    val command = subcommands.firstNotNullOfOrNull { it.chosen } ?: usage("no command; see --help")
+    val address = platform
+    if (address == null && command !is Command.Check) usage("option --platform ip:port is missing")
+    if (address != null && !isAddress(address)) usage("--platform: expected ip:port, found '$address'")
+    return Invocation(address, (timeoutMs ?: DEFAULT_TIMEOUT_MS).toLong(), command)
+}
+
+private const val DEFAULT_TIMEOUT_MS = 3_000
+
+private fun usage(problem: String): Nothing = throw ParseEnd(problem, ExitCode.USAGE)
+
+/**
+ * Makes [parser] throw instead of printing to standard output and ending the process with 127. kotlinx-cli 0.3.6 has this hook but does not
+ * publish it, and offers no other way to choose the exit code.
+ */
+private fun endByException(parser: ArgParser) {
+    val end: (String, Int) -> Nothing = { message, code ->
+        if (code == 0) throw ParseEnd("$message\n${exitCodes()}", ExitCode.OK)
+        // The first line is the fault; the rest repeats the whole usage.
+        throw ParseEnd(message.lineSequence().first(), ExitCode.USAGE)
+    }
+    ArgParser::class.java.getMethod("setOutputAndTerminate\$kotlinx_cli", Function2::class.java).invoke(parser, end)
+}
+
+private fun exitCodes(): String = "Exit codes: \n" + ExitCode.entries.joinToString("\n") { "    ${it.code} -> ${it.meaning}" }
+
+@OptIn(ExperimentalCli::class)
+private abstract class Choice(
+    name: String,
+    description: String,
+) : Subcommand(name, description) {
+    var chosen: Command? = null
+        private set
+
+    abstract fun command(): Command
+
+    override fun execute() {
+        chosen = command()
+    }
+}
+
+private fun subcommands(): List<Choice> = listOf(
+    Files("apply", "Validate record files and write them; nothing is written when there is a finding", Command::Apply),
+    Files("check", "Validate settings and record files without writing; --platform adds the records in force", Command::Check),
+    OneRecord("get", "Print a record as it is stored") { id, _ -> Command.Get(id) },
+    KindChoice(),
+    SetChoice(),
+    WithdrawChoice(),
+    CreateKeyChoice(),
+    DrainChoice(),
+    OneRecord("remove", "Remove a record that no other record needs") { id, version -> Command.Remove(id, version) },
+    OneRecord("explain", "Print what is in force of a record and which records it depends on") { id, _ -> Command.Explain(id) },
+    StatusChoice(),
+)
+
+private class Files(
+    name: String,
+    description: String,
+    private val create: (List<Path>) -> Command,
+) : Choice(name, description) {
+    private val files by argument(ArgType.String, "files", "INI files").vararg()
+
+    override fun command() = create(files.map { Path.of(it) })
+}
+
+private class OneRecord(
+    name: String,
+    description: String,
+    private val create: (RecordId, Long?) -> Command,
+) : Choice(name, description) {
+    private val kind by argument(ArgType.String, "kind", kindHelp())
+    private val record by argument(ArgType.String, "name", "Name of the record; adapter@version for a version")
+    private val ifVersion by option(ArgType.String, "if-version", description = "Only if the record is at this version")
+
+    override fun command() = create(recordId(kind, record), versionOrNull(ifVersion))
+}
+
+private class KindChoice : Choice("list", "Print all records of a kind") {
+    private val kind by argument(ArgType.String, "kind", kindHelp())
+
+    override fun command() = Command.ListKind(kindOf(kind))
+}
+
+private class SetChoice : Choice("set", "Change keys of a record: set workspace a weight=2 (key= removes an optional key)") {
+    private val kind by argument(ArgType.String, "kind", kindHelp())
+    private val record by argument(ArgType.String, "name", "Name of the record; adapter@version for a version")
+    private val values by argument(ArgType.String, "key=value", "Keys and their new values").vararg()
+    private val ifVersion by option(ArgType.String, "if-version", description = "Only if the record is at this version")
+
+    override fun command() = Command.Change(recordId(kind, record), values.map(::pair), versionOrNull(ifVersion))
+
+    private fun pair(text: String): Pair<String, String> {
+        if ('=' !in text) usage("expected key=value, found '$text'")
+        return text.substringBefore('=').trim() to text.substringAfter('=').trim()
+    }
+}
+
+private class WithdrawChoice : Choice("withdraw", "Withdraw a key or a version; running requests of a withdrawn key end") {
+    private val kind by argument(ArgType.Choice(listOf("key", "version"), { it }), "kind", "key or version")
+    private val record by argument(ArgType.String, "name", "Name of the key, or adapter@version")
+
+    override fun command() = Command.Change(recordId(kind, record), listOf("withdrawn" to "true"))
+}
+
+private class CreateKeyChoice : Choice("create-key", "Create a key and print it once") {
+    private val record by argument(ArgType.String, "name", "Name of the key")
+    private val workspace by option(ArgType.String, "workspace", "w", "Workspace of the key").required()
+
+    override fun command() = Command.CreateKey(recordId(RecordKind.KEY.label, record).name, workspaceName())
+
+    private fun workspaceName() = workspace.takeIf(::isName) ?: usage("workspace '$workspace' is not a valid name")
+}
+
+private class DrainChoice : Choice("drain", "Give a target no new work") {
+    private val kind by argument(ArgType.Choice(listOf("target"), { it }), "target", "The word target")
+    private val record by argument(ArgType.String, "name", "Name of the target")
+
+    override fun command() = Command.Change(recordId(kind, record), listOf("draining" to "true"))
+}
+
+private class StatusChoice : Choice("status", "Print the roster, the records by kind, the targets, and the state of instances") {
+    private val instances by option(ArgType.String, "instance", "i", "Admin address of an instance, ip:port").multiple()
+
+    override fun command() = Command.Status(instances.onEach { if (!isAddress(it)) usage("--instance: expected ip:port, found '$it'") })
+}
+
+private fun kindHelp() = "One of ${RecordKind.labels.joinToString()}"
+
+private fun kindOf(label: String): RecordKind = RecordKind.ofLabelOrNull(label) ?: usage("unknown kind '$label'; ${kindHelp().lowercase()}")
+
+private fun recordId(
+    kind: String,
+    name: String,
+): RecordId {
+    val id = RecordId(kindOf(kind), name)
+    if (!isRecordName(id.kind, name)) usage("'$name' is not a valid name of a $kind")
+    return id
+}
+
+private fun versionOrNull(text: String?): Long? = text?.let { it.toLongOrNull() ?: usage("--if-version: expected a number, found '$it'") }
--- /dev/null
+++ b/skylarkstile-ctl/src/test/kotlin/io/skylarkstile/ctl/Operator.kt
@@ -0,0 +1,76 @@
+/*
+ * Runs command lines against a [FakeStore] and keeps what they print.
+ */
+package io.skylarkstile.ctl
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import io.skylarkstile.ctl.command.Console
+import io.skylarkstile.ctl.main.run
+import io.skylarkstile.transport.http.HttpAnswer
+import io.skylarkstile.transport.http.HttpClient
+import io.skylarkstile.transport.http.HttpFailure
+import io.skylarkstile.transport.http.HttpRequest
+import java.nio.file.Files
+import java.nio.file.Path
+
+internal class Operator(
+    val store: FakeStore = FakeStore(),
+) {
+    val out = mutableListOf<String>()
+    val err = mutableListOf<String>()
+
+    suspend fun call(vararg args: String): Int {
+        out.clear()
+        err.clear()
+        return run(arrayOf("--platform", "127.0.0.1:1", *args), Console(out::add, err::add), NoHttp) { _, _ -> store }.code
+    }
+
+    suspend fun apply(text: String): Int = call("apply", file(text).toString())
+}
+
+internal fun file(text: String): Path = Files
+    .createTempFile("records", ".ini")
+    .also {
+        Files.writeString(it, text)
+    }.also { it.toFile().deleteOnExit() }
+
+internal object NoHttp : HttpClient {
+    override suspend fun call(
+        address: String,
+        request: HttpRequest,
+        idleTimeoutMs: Long,
+        idempotent: Boolean,
+        beforeSend: () -> Boolean,
+    ): Result<HttpAnswer, HttpFailure> = Err(HttpFailure.NotSent("refused"))
+
+    override fun close() = Unit
+}
+
+internal val records =
+    """
+    [workspace glass-cairo]
+    schemaVersion = 1
+    rate = 3
+    burst = 6
+    [target engine-1]
+    schemaVersion = 1
+    type = engine
+    address = 127.0.0.1:9001
+    dataCentre = cairo-a
+    baseModel = plate-7b
+    [adapter caption-fr]
+    schemaVersion = 1
+    workspace = glass-cairo
+    baseModel = plate-7b
+    activeVersion = v1
+    [version caption-fr@v1]
+    schemaVersion = 1
+    adapter = caption-fr
+    path = /weights/caption-fr/v1
+    [route captions]
+    schemaVersion = 1
+    type = model
+    workspace = glass-cairo
+    adapter = caption-fr
+    """.trimIndent()
