--- /dev/null
+++ b/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/report/Comparison.kt
@@ -0,0 +1,44 @@
+/*
+ * Ratios between two runs of the same trace.
+ */
+package io.skylarkstile.bench.report
+
+/** One measure of two runs. */
+data class ComparisonLine(
+    val measure: String,
+    val first: Double,
+    val second: Double,
+) {
+    /** The second figure over the first; `null` when the first is zero. */
+    val ratioOrNull: Double? get() = if (first == 0.0) null else second / first
+}
+
+/** Compares two runs measure by measure; the runs must have the same profile, scenario and seed to be a pair. */
+fun compareRuns(
+    first: Summary,
+    second: Summary,
+): List<ComparisonLine> = listOf(
+    ComparisonLine("complete answers", first.complete.toDouble(), second.complete.toDouble()),
+    ComparisonLine("first token p50 ms", first.firstToken.p50, second.firstToken.p50),
+    ComparisonLine("first token p95 ms", first.firstToken.p95, second.firstToken.p95),
+    ComparisonLine("largest gap p95 ms", first.largestGap.p95, second.largestGap.p95),
+    ComparisonLine("loads", first.fleet.loads.toDouble(), second.fleet.loads.toDouble()),
+    ComparisonLine("stalled requests", first.fleet.stalledRequests.toDouble(), second.fleet.stalledRequests.toDouble()),
+    ComparisonLine("batch efficiency", first.fleet.batchEfficiency, second.fleet.batchEfficiency),
+    ComparisonLine("worst served share", first.worstServedShare, second.worstServedShare),
+    ComparisonLine("refused within rate", first.refusedWithinRateShare, second.refusedWithinRateShare),
+    ComparisonLine(
+        "platform calls/s/instance",
+        first.fleet.platformCallsPerInstanceSecond,
+        second.fleet.platformCallsPerInstanceSecond,
+    ),
+)
+
+/** Returns whether the two runs had the same input. */
+fun isPair(
+    first: Summary,
+    second: Summary,
+): Boolean = first.profile == second.profile &&
+    first.scenario == second.scenario &&
+    first.seed == second.seed &&
+    first.durationMs == second.durationMs
--- /dev/null
+++ b/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/trace/IdealQuota.kt
@@ -0,0 +1,41 @@
+/*
+ * One central token bucket for each workspace, as the reference for refusals: a request that it admits and the system refuses was
+ * refused although within rate.
+ */
+package io.skylarkstile.bench.trace
+
+/** A workspace's limits as its record states them; rates per second. */
+data class QuotaLimits(
+    val requestsPerSecond: Double,
+    val requestBurst: Double,
+    val tokensPerSecond: Double,
+    val tokenBurst: Double,
+)
+
+/** Decides on arrivals in order of time as one bucket for the whole fleet would. */
+class IdealQuota(
+    private val limits: QuotaLimits,
+) {
+    private var requests = limits.requestBurst
+    private var tokens = limits.tokenBurst
+    private var last = 0L
+
+    /** Returns whether a request of [count] tokens at [atMs] is within the rate; charges it if so. */
+    fun admits(
+        atMs: Long,
+        count: Int,
+    ): Boolean {
+        val seconds = (atMs - last) / MS_PER_SECOND
+        last = atMs
+        requests = (requests + seconds * limits.requestsPerSecond).coerceAtMost(limits.requestBurst)
+        tokens = (tokens + seconds * limits.tokensPerSecond).coerceAtMost(limits.tokenBurst)
+        if (requests < 1.0 || tokens < count) return false
+        requests -= 1.0
+        tokens -= count
+        return true
+    }
+
+    private companion object {
+        const val MS_PER_SECOND = 1_000.0
+    }
+}
--- /dev/null
+++ b/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/trace/Scenario.kt
@@ -0,0 +1,23 @@
+/*
+ * What happens during a run besides steady load.
+ */
+package io.skylarkstile.bench.trace
+
+/** Events of a run. The first group changes the trace, the second group is carried out on the fleet half way through the run. */
+enum class Scenario(
+    val text: String,
+) {
+    Steady("steady"),
+    PopularityShift("popularity-shift"),
+    GreedyWorkspace("greedy-workspace"),
+    MovingCallers("moving-callers"),
+
+    EngineRestarts("engine-restarts"),
+    StoreSlowed("store-slowed"),
+    InstanceLoss("instance-loss"),
+    PlatformOutage("platform-outage"),
+    RollingReplacement("rolling-replacement"),
+}
+
+/** Returns the scenario called [text], or `null`. */
+fun scenarioOrNull(text: String): Scenario? = Scenario.entries.firstOrNull { it.text == text }
--- /dev/null
+++ b/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/trace/Trace.kt
@@ -0,0 +1,94 @@
+/*
+ * The arrivals of one run, computed before it starts: the same profile, scenario and seed give the same trace for every policy.
+ */
+package io.skylarkstile.bench.trace
+
+import org.apache.commons.math3.distribution.ExponentialDistribution
+import org.apache.commons.math3.distribution.ZipfDistribution
+import org.apache.commons.math3.random.RandomGenerator
+import org.apache.commons.math3.random.Well19937c
+import kotlin.math.roundToInt
+
+/** One request that arrives [atMs] milliseconds after the start, whether or not earlier ones were answered. */
+data class Arrival(
+    val atMs: Long,
+    val workspace: String,
+    val adapter: String,
+    val prompt: String,
+    val maxTokens: Int,
+)
+
+/** Arrivals in order of time. */
+data class Trace(
+    val profile: Profile,
+    val scenario: Scenario,
+    val seed: Long,
+    val durationMs: Long,
+    val arrivals: List<Arrival>,
+)
+
+/** Returns the adapters of each workspace of [profile]: adapter number n belongs to workspace n modulo their number. */
+fun adaptersOf(
+    profile: Profile,
+    workspace: Int,
+): List<String> = (workspace until profile.adapters step profile.workspaces.size).map { "adapter-$it" }
+
+/** The factor by which the greedy workspace exceeds its share. */
+const val GREEDY_FACTOR = 5.0
+
+/** Generates the trace of [durationMs] milliseconds. */
+fun generateTrace(
+    profile: Profile,
+    scenario: Scenario,
+    seed: Long,
+    durationMs: Long,
+): Trace {
+    val random = Well19937c(seed)
+    val streams = profile.workspaces.indices.map { WorkspaceArrivals(profile, scenario, it, Well19937c(random.nextLong()), durationMs) }
+    return Trace(profile, scenario, seed, durationMs, streams.flatMap { it.generate() }.sortedBy { it.atMs })
+}
+
+/** Generates the Poisson arrivals of one workspace with skewed adapter popularity. */
+private class WorkspaceArrivals(
+    private val profile: Profile,
+    private val scenario: Scenario,
+    private val index: Int,
+    private val random: RandomGenerator,
+    private val durationMs: Long,
+) {
+    private val adapters = adaptersOf(profile, index)
+    private val ranks = ZipfDistribution(random, adapters.size, profile.zipfExponent)
+    private val order = shuffled()
+    private val shifted = shuffled()
+
+    fun generate(): List<Arrival> {
+        val rate = profile.requestsPerSecond * profile.workspaces[index].share * greed()
+        val gaps = ExponentialDistribution(random, MS_PER_SECOND / rate)
+        val times = generateSequence(gaps.sample()) { it + gaps.sample() }.takeWhile { it < durationMs }
+        return times.map { arrival(it.toLong()) }.toList()
+    }
+
+    private fun greed() = if (scenario == Scenario.GreedyWorkspace && index == 0) GREEDY_FACTOR else 1.0
+
+    private fun arrival(at: Long): Arrival {
+        val isShifted = scenario == Scenario.PopularityShift && at >= durationMs / 2
+        val adapter = adapters[(if (isShifted) shifted else order)[ranks.sample() - 1]]
+        val tokens = (profile.meanTokens * (MIN_TOKENS_SHARE + random.nextDouble())).roundToInt().coerceAtLeast(1)
+        return Arrival(at, profile.workspaces[index].name, adapter, "plate ${random.nextInt(PROMPTS)} of $adapter", tokens)
+    }
+
+    private fun shuffled(): IntArray {
+        val order = IntArray(adapters.size) { it }
+        for (i in order.indices.reversed()) {
+            val j = random.nextInt(i + 1)
+            order[i] = order[j].also { order[j] = order[i] }
+        }
+        return order
+    }
+
+    private companion object {
+        const val MS_PER_SECOND = 1_000.0
+        const val MIN_TOKENS_SHARE = 0.5
+        const val PROMPTS = 50
+    }
+}
