Add stand-ins for the object API, engine, plain service, weight store and network faults

Cause: tests and the quick start need the outside systems without running any of them. Change: five stand-ins behind one main class with subcommands and a factory function each; every one takes faults through POST /control, refuses unknown fields, and shows its counters in GET /control/state.

--- /dev/null
+++ b/skylarkstile-standin/src/main/kotlin/io/skylarkstile/standin/main/Main.kt
@@ -0,0 +1,128 @@
+/*
+ * The command that starts one stand-in. It prints `ready <address>` on standard output when it listens and runs until it is ended.
+ */
+package io.skylarkstile.standin.main
+
+import ch.qos.logback.classic.Level
+import ch.qos.logback.classic.LoggerContext
+import ch.qos.logback.classic.encoder.PatternLayoutEncoder
+import ch.qos.logback.classic.spi.ILoggingEvent
+import ch.qos.logback.core.ConsoleAppender
+import io.skylarkstile.standin.engine.EngineSettings
+import io.skylarkstile.standin.engine.engineStandin
+import io.skylarkstile.standin.http.Standin
+import io.skylarkstile.standin.http.settingsOf
+import io.skylarkstile.standin.objects.ObjectsSettings
+import io.skylarkstile.standin.objects.objectsStandin
+import io.skylarkstile.standin.proxy.LinkSpec
+import io.skylarkstile.standin.proxy.proxyStandin
+import io.skylarkstile.standin.service.ServiceSettings
+import io.skylarkstile.standin.service.serviceStandin
+import io.skylarkstile.standin.weights.WeightsSettings
+import io.skylarkstile.standin.weights.weightsStandin
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import kotlinx.cli.multiple
+import org.slf4j.Logger
+import org.slf4j.LoggerFactory
+import java.util.concurrent.CountDownLatch
+import kotlin.system.exitProcess
+
+/** Starts the stand-in that the first argument names. */
+@OptIn(ExperimentalCli::class)
+fun main(args: Array<String>) {
+    logWarningsOnStandardError()
+    val parser = ArgParser("skylarkstile-standin")
+    parser.subcommands(ObjectsCommand(), EngineCommand(), ServiceCommand(), WeightsCommand(), ProxyCommand())
+    parser.parse(args.ifEmpty { arrayOf("--help") })
+}
+
+/** Logback's own default writes debug lines to standard output, where the line `ready <address>` is expected. */
+private fun logWarningsOnStandardError() {
+    val context = LoggerFactory.getILoggerFactory() as? LoggerContext ?: return
+    context.reset()
+    val pattern = PatternLayoutEncoder()
+    pattern.context = context
+    pattern.pattern = "%d{HH:mm:ss.SSS} %-5level %logger{0} %msg%n"
+    pattern.start()
+    val appender = ConsoleAppender<ILoggingEvent>()
+    appender.context = context
+    appender.encoder = pattern
+    appender.target = "System.err"
+    appender.start()
+    val root = context.getLogger(Logger.ROOT_LOGGER_NAME)
+    root.level = Level.WARN
+    root.addAppender(appender)
+}
+
+/** What the subcommands have in common. */
+@OptIn(ExperimentalCli::class)
+private abstract class StandinCommand(
+    name: String,
+    description: String,
+) : Subcommand(name, description) {
+    protected val listen by option(ArgType.String, "listen", description = "Address to listen on").default("127.0.0.1:0")
+    protected val control by option(ArgType.String, "control", description = "JSON object of settings, as in POST /control").default("{}")
+
+    protected abstract fun start(): Standin
+
+    override fun execute() {
+        val standin =
+            try {
+                start()
+            } catch (e: IllegalArgumentException) {
+                System.err.println("skylarkstile-standin $name: ${e.message}")
+                exitProcess(USAGE_EXIT)
+            }
+        println("ready ${standin.address}")
+        System.out.flush()
+        Runtime.getRuntime().addShutdownHook(Thread { standin.close() })
+        CountDownLatch(1).await()
+    }
+}
+
+private class ObjectsCommand : StandinCommand("objects", "The platform's object API") {
+    override fun start(): Standin = objectsStandin(listen, settingsOf(ObjectsSettings.serializer(), ObjectsSettings(), control))
+}
+
+@OptIn(ExperimentalCli::class)
+private class EngineCommand : StandinCommand("engine", "A model engine") {
+    private val slots by option(ArgType.Int, "slots", description = "Adapter slots").default(EngineSettings().slots)
+    private val fencing by option(ArgType.String, "fencing", description = "Refuse orders with an old fencing number (true or false)")
+        .default("false")
+    private val weights by option(ArgType.String, "weights", description = "Address of the weight store")
+
+    override fun start(): Standin {
+        val initial = EngineSettings(slots = slots, fencing = fencing.toBooleanStrict(), weights = weights)
+        return engineStandin(listen, settingsOf(EngineSettings.serializer(), initial, control))
+    }
+}
+
+private class ServiceCommand : StandinCommand("service", "A plain service with registrations and holds") {
+    override fun start(): Standin = serviceStandin(listen, settingsOf(ServiceSettings.serializer(), ServiceSettings(), control))
+}
+
+private class WeightsCommand : StandinCommand("weights", "The weight store") {
+    override fun start(): Standin = weightsStandin(listen, settingsOf(WeightsSettings.serializer(), WeightsSettings(), control))
+}
+
+@OptIn(ExperimentalCli::class)
+private class ProxyCommand : StandinCommand("proxy", "A TCP proxy that injects faults") {
+    private val link by option(ArgType.String, "link", description = "name=listen>target, may be repeated").multiple()
+
+    override fun start(): Standin = proxyStandin(listen, link.map { linkOf(it) })
+}
+
+/** Parses `name=listen>target`. */
+internal fun linkOf(text: String): LinkSpec {
+    val name = text.substringBefore('=', "")
+    val listen = text.substringAfter('=').substringBefore('>', "")
+    val target = text.substringAfter('>', "")
+    require(name.isNotEmpty() && listen.isNotEmpty() && target.isNotEmpty()) { "'$text' is not of the form name=listen>target" }
+    return LinkSpec(name, listen, target)
+}
+
+private const val USAGE_EXIT = 2
--- /dev/null
+++ b/skylarkstile-standin/src/test/kotlin/io/skylarkstile/standin/ControlCalls.kt
@@ -0,0 +1,63 @@
+/*
+ * Calls that the specs of the stand-ins share.
+ */
+package io.skylarkstile.standin
+
+import com.github.michaelbull.result.getOrThrow
+import io.skylarkstile.schema.recordJson
+import io.skylarkstile.transport.http.HttpAnswer
+import io.skylarkstile.transport.http.HttpHeaders
+import io.skylarkstile.transport.http.HttpRequest
+import io.skylarkstile.transport.http.bytes
+import io.skylarkstile.transport.http.headersOf
+import io.skylarkstile.transport.http.httpClient
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.jsonObject
+
+internal val client = httpClient(connectTimeoutMs = 500)
+
+/** Sends a request and returns the head of its answer. */
+internal suspend fun call(
+    address: String,
+    method: String,
+    uri: String,
+    body: String = "",
+    headers: HttpHeaders = headersOf(),
+): HttpAnswer = client
+    .call(address, HttpRequest(method, uri, headers = headers, body = body.encodeToByteArray(), rawUri = uri), 3_000)
+    .getOrThrow { IllegalStateException(it.detail) }
+
+/** Sends a request and returns the status and the JSON of its answer. */
+internal suspend fun json(
+    address: String,
+    method: String,
+    uri: String,
+    body: String = "",
+    headers: HttpHeaders = headersOf(),
+): Pair<Int, JsonElement> {
+    val answer = call(address, method, uri, body, headers)
+    return answer.status to recordJson.parseToJsonElement(answer.bytes().decodeToString())
+}
+
+internal suspend fun control(
+    address: String,
+    body: String,
+) = check(json(address, "POST", "/control", body).first == 200) { "control call refused" }
+
+/** Returns the field of the control state that [path] leads to. */
+internal suspend fun state(
+    address: String,
+    vararg path: String,
+): String {
+    val all = json(address, "GET", "/control/state").second
+    return when (val found = path.fold(all) { at, name -> at.jsonObject.getValue(name) }) {
+        is JsonPrimitive -> found.content
+        else -> found.toString()
+    }
+}
+
+/** Returns the `code` of an error answer. */
+internal fun code(answer: Pair<Int, JsonElement>): String =
+    ((answer.second as JsonObject).getValue("error").jsonObject.getValue("code") as JsonPrimitive).content
--- /dev/null
+++ b/skylarkstile-standin/src/test/kotlin/io/skylarkstile/standin/ProxyStandinSpec.kt
@@ -0,0 +1,108 @@
+/*
+ * Checks the faults of the TCP proxy with plain sockets against an echo server.
+ */
+package io.skylarkstile.standin
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.doubles.shouldBeGreaterThan
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.skylarkstile.standin.proxy.LinkSpec
+import io.skylarkstile.standin.proxy.proxyStandin
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import java.io.IOException
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.net.SocketTimeoutException
+import kotlin.concurrent.thread
+
+class ProxyStandinSpec :
+    FunSpec({
+        val echo = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+        thread(isDaemon = true) {
+            while (true) {
+                val socket = runCatching { echo.accept() }.getOrNull() ?: break
+                thread(isDaemon = true) { runCatching { socket.getInputStream().copyTo(socket.getOutputStream()) } }
+            }
+        }
+        val proxy = proxyStandin("127.0.0.1:0", listOf(LinkSpec("a-b", "127.0.0.1:0", "127.0.0.1:${echo.localPort}")))
+        val port by lazy { runBlocking { portOf(proxy.address) } }
+        afterSpec {
+            proxy.close()
+            echo.close()
+        }
+        afterTest { control(proxy.address, """{"links":["a-b"],"heal":true}""") }
+
+        suspend fun fault(fields: String) = control(proxy.address, """{"links":["a-*"],$fields}""")
+
+        test("forwards bytes and counts them") {
+            Socket("127.0.0.1", port).use { it.echoes("hello") shouldBe "hello" }
+            json(proxy.address, "GET", "/control/state").second.toString() shouldContain """"bytesToTarget":5"""
+        }
+
+        test("delays both directions") {
+            fault(""""delayMs":60""")
+            Socket("127.0.0.1", port).use {
+                val begin = System.nanoTime()
+                it.echoes("x") shouldBe "x"
+                ((System.nanoTime() - begin) / 1e6) shouldBeGreaterThan 120.0
+            }
+        }
+
+        test("closes connections and refuses new ones while cut") {
+            val open = Socket("127.0.0.1", port).also { it.echoes("x") }
+            fault(""""cut":true""")
+            open.soTimeout = 2_000
+            open.getInputStream().read() shouldBe -1
+            runCatching { Socket("127.0.0.1", port) }.exceptionOrNull()!!.let { it is IOException } shouldBe true
+            fault(""""heal":true""")
+            Socket("127.0.0.1", port).use { it.echoes("back") shouldBe "back" }
+        }
+
+        test("silences one direction of open connections while new ones work, and goes on without a loss when healed") {
+            val open = Socket("127.0.0.1", port).also { it.echoes("x") }
+            fault(""""silence":"fromTarget"""")
+            open.isSilentAfter("lost?") shouldBe true
+            Socket("127.0.0.1", port).use { it.echoes("new") shouldBe "new" }
+            fault(""""heal":true""")
+            open.soTimeout = 2_000
+            open.getInputStream().readNBytes(5).decodeToString() shouldBe "lost?"
+            open.close()
+        }
+
+        test("accepts and forwards nothing while half-open") {
+            fault(""""halfOpen":true""")
+            Socket("127.0.0.1", port).use { it.isSilentAfter("x") shouldBe true }
+        }
+
+        test("adds links while it runs and refuses names it does not have") {
+            control(proxy.address, """{"add":[{"name":"c","listen":"127.0.0.1:0","target":"127.0.0.1:${echo.localPort}"}]}""")
+            json(proxy.address, "POST", "/control", """{"links":["d"],"cut":true}""").first shouldBe 400
+        }
+    })
+
+/** Returns the port that the first link of the proxy listens on. */
+private suspend fun portOf(proxy: String): Int {
+    val link = json(proxy, "GET", "/control/state").second.jsonArray[0].jsonObject
+    return link
+        .getValue("listen")
+        .jsonPrimitive.content
+        .substringAfter(':')
+        .toInt()
+}
+
+private fun Socket.echoes(text: String): String {
+    soTimeout = 2_000
+    getOutputStream().write(text.toByteArray())
+    return getInputStream().readNBytes(text.length).decodeToString()
+}
+
+private fun Socket.isSilentAfter(text: String): Boolean {
+    soTimeout = 200
+    getOutputStream().write(text.toByteArray())
+    return runCatching { getInputStream().read() }.exceptionOrNull() is SocketTimeoutException
+}
