--- a/skylarkstile-ctl/src/main/kotlin/io/skylarkstile/ctl/command/Status.kt
+++ b/skylarkstile-ctl/src/main/kotlin/io/skylarkstile/ctl/command/Status.kt
@@ -14,11 +14,10 @@
 import io.skylarkstile.schema.recordJson
 import io.skylarkstile.transport.http.HttpClient
 import io.skylarkstile.transport.http.HttpRequest
-import kotlinx.coroutines.flow.fold
+import io.skylarkstile.transport.http.bytes
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
-import java.io.ByteArrayOutputStream
 
 /** Time limit of one call to an admin port in milliseconds. */
 private const val ADMIN_TIMEOUT_MS = 2_000L
@@ -99,8 +98,7 @@
         path: String,
     ): Answer? = runCatching {
         http.call(address, HttpRequest("GET", path), ADMIN_TIMEOUT_MS, idempotent = true).get()?.let { answer ->
-            val body = answer.body.fold(ByteArrayOutputStream()) { all, part -> all.apply { write(part) } }
-            Answer(answer.status, body.toString(Charsets.UTF_8))
+            Answer(answer.status, answer.bytes().decodeToString())
         }
     }.getOrNull()
 
--- /dev/null
+++ b/skylarkstile-ctl/src/main/kotlin/io/skylarkstile/ctl/main/Main.kt
@@ -0,0 +1,26 @@
+/*
+ * The operator command `skylarkctl`.
+ */
+package io.skylarkstile.ctl.main
+
+import io.skylarkstile.config.log.configureLogging
+import io.skylarkstile.ctl.command.Console
+import io.skylarkstile.ctl.command.ExitCode
+import io.skylarkstile.schema.generated.LogSettings
+import io.skylarkstile.transport.http.httpClient
+import io.skylarkstile.transport.platform.objectStore
+import kotlinx.coroutines.runBlocking
+import kotlin.system.exitProcess
+
+/** Time limit for connecting in milliseconds. */
+private const val CONNECT_TIMEOUT_MS = 1_000L
+
+/** Runs the command line and ends the process with an [ExitCode]. */
+fun main(args: Array<String>) {
+    configureLogging(LogSettings(level = LogSettings.Level.Warn))
+    val console = Console(::println, System.err::println)
+    val client = httpClient(CONNECT_TIMEOUT_MS)
+    val exit = runBlocking { run(args, console, client) { address, timeoutMs -> objectStore(address, client, timeoutMs) } }
+    System.out.flush()
+    exitProcess(exit.code)
+}
