Limit proxy faults to one caller of a shared link

Cause: all instances dial a peer at the one address that the roster names, so a link per pair of instances is impossible, and a partition between two instances could not be injected. Change: a link may name its callers; a connection whose first bytes contain such a name is known under it, and orders with "from" apply to its connections only. Conclusion: single edges between instances can be cut, silenced, delayed and healed.

--- a/skylarkstile-standin/src/main/kotlin/io/skylarkstile/standin/proxy/ProxyConnection.kt
+++ b/skylarkstile-standin/src/main/kotlin/io/skylarkstile/standin/proxy/ProxyConnection.kt
@@ -12,10 +12,15 @@
 
 internal class ProxyConnection(
     private val caller: Channel,
-    private val delayNanos: () -> Long,
+    private val callerOf: (String) -> String?,
+    private val faultsOf: (String?) -> LinkFaults,
     private val bytesToTarget: LongAdder,
     private val bytesFromTarget: LongAdder,
 ) {
+    /** Name of the caller once its first bytes have told it. */
+    @Volatile
+    var callerOrNull: String? = null
+        private set
     private var toTarget: Pipe? = null
     private var fromTarget: Pipe? = null
     private var target: Channel? = null
@@ -27,11 +32,11 @@
             return
         }
         target = channel
-        val there = Pipe(caller, channel, delayNanos, bytesToTarget)
-        val back = Pipe(channel, caller, delayNanos, bytesFromTarget)
+        val there = Pipe(caller, channel, ::delayNanos, bytesToTarget)
+        val back = Pipe(channel, caller, ::delayNanos, bytesFromTarget)
         toTarget = there
         fromTarget = back
-        caller.pipeline().addLast(PipeHandler(there, back))
+        caller.pipeline().addLast(CallerHandler(), PipeHandler(there, back))
         channel.pipeline().addLast(PipeHandler(back, there))
         there.updateReading()
         back.updateReading()
@@ -54,6 +59,23 @@
         fromTarget?.silence(false)
     }
 
+    private fun delayNanos(): Long = nanosOf(faultsOf(callerOrNull).delayMs)
+
+    /** Reads the caller's name from its first bytes and applies the faults that are in force for it. */
+    private inner class CallerHandler : ChannelInboundHandlerAdapter() {
+        override fun channelRead(
+            ctx: ChannelHandlerContext,
+            message: Any,
+        ) {
+            callerOrNull = callerOf((message as ByteBuf).toString(Charsets.ISO_8859_1))
+            ctx.pipeline().remove(this)
+            val faults = faultsOf(callerOrNull)
+            if (faults.halfOpen) silence(Silence.Both)
+            if (faults.cut || faults.halfOpen) message.release() else ctx.fireChannelRead(message)
+            if (faults.cut) close()
+        }
+    }
+
     private fun onLoop(run: () -> Unit) {
         caller.eventLoop().execute(run)
     }
--- a/skylarkstile-standin/src/main/kotlin/io/skylarkstile/standin/proxy/ProxyLink.kt
+++ b/skylarkstile-standin/src/main/kotlin/io/skylarkstile/standin/proxy/ProxyLink.kt
@@ -34,20 +34,19 @@
     private var listener: Channel? = null
 
     @Volatile
-    private var delayMs = 0.0
-
-    @Volatile
-    private var halfOpen = false
+    private var faults = LinkFaults()
+    private val callerFaults = ConcurrentHashMap<String, LinkFaults>()
 
     fun state(): LinkState = synchronized(lock) {
         LinkState(
             spec.name,
             "${address.address.hostAddress}:${address.port}",
             spec.target,
-            delayMs,
-            listener == null,
-            halfOpen,
+            faults.delayMs,
+            faults.cut,
+            faults.halfOpen,
             connections.size,
+            callerFaults.toMap(),
             accepted.sum(),
             bytesToTarget.sum(),
             bytesFromTarget.sum(),
@@ -73,24 +72,43 @@
     }
 
     fun apply(order: ProxyOrder) {
-        if (order.heal) heal()
-        order.delayMs?.let { delayMs = it }
-        order.halfOpen?.let { halfOpen = it }
-        order.silence?.let { direction -> connections.forEach { it.silence(direction) } }
-        when (order.cut) {
-            true -> close()
-            false -> listen()
-            null -> Unit
+        val from = order.from
+        val concerned = connections.filter { from == null || it.callerOrNull == from }
+        if (order.heal) heal(from, concerned)
+        if (from == null) faults = faults.changed(order) else callerFaults.compute(from) { _, old -> (old ?: LinkFaults()).changed(order) }
+        order.silence?.let { direction -> concerned.forEach { it.silence(direction) } }
+        when {
+            order.cut == true && from == null -> close()
+            order.cut == true -> concerned.forEach { it.close() }
+            order.cut == false && from == null -> listen()
+        }
+    }
+
+    private fun LinkFaults.changed(order: ProxyOrder): LinkFaults =
+        LinkFaults(order.delayMs ?: delayMs, order.cut ?: cut, order.halfOpen ?: halfOpen)
+
+    private fun heal(
+        from: String?,
+        concerned: List<ProxyConnection>,
+    ) {
+        if (from == null) {
+            faults = LinkFaults()
+            callerFaults.clear()
+            listen()
+        } else {
+            callerFaults.remove(from)
         }
+        concerned.forEach { it.heal() }
     }
 
-    private fun heal() {
-        delayMs = 0.0
-        halfOpen = false
-        listen()
-        connections.forEach { it.heal() }
+    /** Returns the faults in force for [caller]: those of the link and its own ones together. */
+    private fun faultsOf(caller: String?): LinkFaults {
+        val own = caller?.let { callerFaults[it] } ?: return faults
+        return LinkFaults(maxOf(own.delayMs, faults.delayMs), own.cut || faults.cut, own.halfOpen || faults.halfOpen)
     }
 
+    private fun callerOf(first: String): String? = spec.callers.filter { it in first }.maxByOrNull { it.length }
+
     private fun bootstrap(): ServerBootstrap = ServerBootstrap()
         .group(loops)
         .channel(NioServerSocketChannel::class.java)
@@ -105,12 +123,12 @@
 
     private fun accept(channel: SocketChannel) {
         accepted.increment()
-        val connection = ProxyConnection(channel, ::delayNanos, bytesToTarget, bytesFromTarget)
+        val connection = ProxyConnection(channel, ::callerOf, ::faultsOf, bytesToTarget, bytesFromTarget)
         connections.add(connection)
         channel.closeFuture().addListener { connections.remove(connection) }
-        if (halfOpen) return
+        if (faults.halfOpen) return
         // A handshake over the delayed path takes one round trip, so the target is dialled that much later.
-        channel.eventLoop().schedule({ dial(connection, channel) }, 2 * delayNanos(), TimeUnit.NANOSECONDS)
+        channel.eventLoop().schedule({ dial(connection, channel) }, 2 * nanosOf(faults.delayMs), TimeUnit.NANOSECONDS)
     }
 
     private fun dial(
@@ -131,8 +149,9 @@
                 if (future.isSuccess) connection.join((future as ChannelFuture).channel()) else channel.close()
             }
     }
-
-    private fun delayNanos(): Long = (delayMs * NANOS_PER_MS).toLong()
 }
 
+/** Returns [ms] milliseconds in nanoseconds. */
+internal fun nanosOf(ms: Double): Long = (ms * NANOS_PER_MS).toLong()
+
 private const val NANOS_PER_MS = 1_000_000.0
--- a/skylarkstile-standin/src/main/kotlin/io/skylarkstile/standin/proxy/ProxyStandin.kt
+++ b/skylarkstile-standin/src/main/kotlin/io/skylarkstile/standin/proxy/ProxyStandin.kt
@@ -30,6 +30,11 @@
     val name: String,
     val listen: String,
     val target: String,
+    /**
+     * Names of callers that share this link. A connection whose first bytes contain one of them (as the first message of a peer link
+     * contains the instance name) is known under that name, and orders with `from` apply to it.
+     */
+    val callers: List<String> = emptyList(),
 )
 
 /** Directions in which the open connections of a link are silenced. */
@@ -52,6 +57,8 @@
     val add: List<LinkSpec> = emptyList(),
     /** Links that the other fields apply to; a name that ends with `*` stands for all names with that prefix. */
     val links: List<String> = emptyList(),
+    /** Limits the other fields to the connections of one of the link's callers. */
+    val from: String? = null,
     /** Removes all faults first: silenced connections go on, half-open ones are closed. */
     val heal: Boolean = false,
     /** Time that bytes take in either direction, in milliseconds. */
@@ -64,6 +71,14 @@
     val silence: Silence? = null,
 )
 
+/** Lasting faults of a link, or of one caller of a link. */
+@Serializable
+data class LinkFaults(
+    val delayMs: Double = 0.0,
+    val cut: Boolean = false,
+    val halfOpen: Boolean = false,
+)
+
 /** One link in `GET /control/state`. */
 @Serializable
 data class LinkState(
@@ -74,6 +89,8 @@
     val cut: Boolean,
     val halfOpen: Boolean,
     val open: Int,
+    /** Faults in force for single callers of the link. */
+    val callerFaults: Map<String, LinkFaults>,
     val accepted: Long,
     val bytesToTarget: Long,
     val bytesFromTarget: Long,
--- a/skylarkstile-standin/src/test/kotlin/io/skylarkstile/standin/ProxyStandinSpec.kt
+++ b/skylarkstile-standin/src/test/kotlin/io/skylarkstile/standin/ProxyStandinSpec.kt
@@ -23,14 +23,15 @@
 class ProxyStandinSpec :
     FunSpec({
         val echo = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+        val target = "127.0.0.1:${echo.localPort}"
         thread(isDaemon = true) {
             while (true) {
                 val socket = runCatching { echo.accept() }.getOrNull() ?: break
                 thread(isDaemon = true) { runCatching { socket.getInputStream().copyTo(socket.getOutputStream()) } }
             }
         }
-        val proxy = proxyStandin("127.0.0.1:0", listOf(LinkSpec("a-b", "127.0.0.1:0", "127.0.0.1:${echo.localPort}")))
-        val port by lazy { runBlocking { portOf(proxy.address) } }
+        val proxy = proxyStandin("127.0.0.1:0", listOf(LinkSpec("a-b", "127.0.0.1:0", target)))
+        val port by lazy { runBlocking { portOf(proxy.address, "a-b") } }
         afterSpec {
             proxy.close()
             echo.close()
@@ -79,15 +80,37 @@
             Socket("127.0.0.1", port).use { it.isSilentAfter("x") shouldBe true }
         }
 
+        test("limits a fault to one caller of a shared link, so that two instances can be cut apart") {
+            control(proxy.address, """{"add":[{"name":"s","listen":"127.0.0.1:0","target":"$target","callers":["one","two"]}]}""")
+            val shared = portOf(proxy.address, "s")
+            val one = Socket("127.0.0.1", shared).also { it.echoes("hello one") shouldBe "hello one" }
+            val two = Socket("127.0.0.1", shared).also { it.echoes("hello two") shouldBe "hello two" }
+            control(proxy.address, """{"links":["s"],"from":"one","cut":true}""")
+            one.soTimeout = 2_000
+            one.getInputStream().read() shouldBe -1
+            two.echoes("still here") shouldBe "still here"
+            Socket("127.0.0.1", shared).use {
+                it.soTimeout = 2_000
+                it.getOutputStream().write("hello one".toByteArray())
+                it.getInputStream().read() shouldBe -1
+            }
+            control(proxy.address, """{"links":["s"],"from":"one","heal":true}""")
+            Socket("127.0.0.1", shared).use { it.echoes("hello one") shouldBe "hello one" }
+        }
+
         test("adds links while it runs and refuses names it does not have") {
-            control(proxy.address, """{"add":[{"name":"c","listen":"127.0.0.1:0","target":"127.0.0.1:${echo.localPort}"}]}""")
+            control(proxy.address, """{"add":[{"name":"c","listen":"127.0.0.1:0","target":"$target"}]}""")
             json(proxy.address, "POST", "/control", """{"links":["d"],"cut":true}""").first shouldBe 400
         }
     })
 
-/** Returns the port that the first link of the proxy listens on. */
-private suspend fun portOf(proxy: String): Int {
-    val link = json(proxy, "GET", "/control/state").second.jsonArray[0].jsonObject
+/** Returns the port that the link [name] of the proxy listens on. */
+private suspend fun portOf(
+    proxy: String,
+    name: String,
+): Int {
+    val links = json(proxy, "GET", "/control/state").second.jsonArray.map { it.jsonObject }
+    val link = links.first { it.getValue("name").jsonPrimitive.content == name }
     return link
         .getValue("listen")
         .jsonPrimitive.content
