--- /dev/null
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/Main.kt
@@ -0,0 +1,71 @@
+/*
+ * The command that runs one entry instance. It prints `ready <callerAddress>` on standard output when the instance can serve, and ends
+ * with a graceful shutdown on SIGTERM.
+ */
+package io.skylarkstile.entry.main
+
+import com.github.michaelbull.result.getOrElse
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import io.skylarkstile.config.Finding
+import io.skylarkstile.config.log.configureLogging
+import io.skylarkstile.config.log.event
+import io.skylarkstile.config.settings.loadEntrySettings
+import io.skylarkstile.schema.generated.EntrySettings
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.default
+import kotlinx.cli.required
+import kotlinx.coroutines.runBlocking
+import java.nio.file.Path
+import kotlin.system.exitProcess
+
+private val log = KotlinLogging.logger {}
+
+/** Exit code when the settings have findings. */
+private const val EXIT_FINDINGS = 1
+
+/** Exit code when an address can't be bound. */
+private const val EXIT_START_FAILED = 3
+
+fun main(args: Array<String>) {
+    val parser = ArgParser("skylarkstile-entry")
+    val file by parser.option(ArgType.String, "settings", "s", "Settings file (INI)").required()
+    val check by parser.option(ArgType.Boolean, "check", "c", "Check the settings, print every finding and exit with 0 or 1").default(false)
+    parser.parse(args)
+    val settings = loadEntrySettings(Path.of(file)).getOrElse { exitWith(it) }
+    if (check) return
+    configureLogging(settings.log)
+    run(settings)
+}
+
+private fun run(settings: EntrySettings) {
+    val instance =
+        try {
+            runBlocking { startInstance(settings) }
+        } catch (e: java.io.IOException) {
+            System.err.println("skylarkstile-entry: ${settings.instance.name} could not start: ${e.message}")
+            exitProcess(EXIT_START_FAILED)
+        }
+    Runtime.getRuntime().addShutdownHook(
+        Thread {
+            log.event(Level.INFO, "shutdown-begun") { "shutting down" }
+            val whole = runBlocking { instance.shutDown() }
+            log.event(
+                Level.INFO,
+                "shutdown-done",
+                "whole" to whole,
+            ) { if (whole) "all requests were finished" else "some requests were cut" }
+            Runtime.getRuntime().halt(0)
+        },
+    )
+    runBlocking { instance.awaitReady() }
+    println("ready ${instance.callerAddress}")
+    System.out.flush()
+    Thread.currentThread().join()
+}
+
+private fun exitWith(findings: List<Finding>): Nothing {
+    findings.forEach { System.err.println(it) }
+    exitProcess(EXIT_FINDINGS)
+}
