Keep a handle that a former owner may still use; add property tests of the decisions

Cause: on a target with fencing an owner may load the handle adapter@version that the former owner loaded too late for the reports read so far. Change: such a handle also needs a report of 0 running produced after the takeover.

--- a/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/placement/AdapterSlots.kt
+++ b/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/placement/AdapterSlots.kt
@@ -106,7 +106,8 @@
         now: Long,
     ): String {
         val handle = handleFor(model)
-        slots[handle] = Slot(handle, model, SlotPhase.Loading, usable = true, since = now, idleAfter = null)
+        // With fencing a former owner may have loaded the same handle too late for the reports read so far, and may still run requests on it.
+        slots[handle] = Slot(handle, model, SlotPhase.Loading, usable = true, since = now, idleAfter = acquiredAt.takeIf { fencing })
         return handle
     }
 
--- /dev/null
+++ b/skylarkstile-core/src/test/kotlin/io/skylarkstile/core/placement/PlacementSpec.kt
@@ -0,0 +1,59 @@
+/*
+ * Guards against evictions of adapters that are needed at once, needless loads, and instances that choose different homes.
+ */
+package io.skylarkstile.core.placement
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.comparables.shouldBeLessThan
+import io.kotest.matchers.doubles.plusOrMinus
+import io.kotest.matchers.shouldBe
+
+private val costs = PlacementCosts(requestMs = 1_000.0, loadMs = 500.0)
+
+private fun view(
+    target: String,
+    load: Int = 0,
+    loaded: Boolean = false,
+    loading: Boolean = false,
+    reachable: Boolean = true,
+) = TargetView(target, loaded, loading, load, 8, reachable)
+
+class PlacementSpec :
+    FunSpec({
+        test("popularity halves in 30 s and matches the rate of steady requests") {
+            val popularity = Popularity()
+            for (at in 0L..300_000L step 500) popularity.record("a", at)
+            popularity.rate("a", 300_000) shouldBe (2.0 plusOrMinus 0.1)
+            popularity.rate("a", 330_000) shouldBe (1.0 plusOrMinus 0.05)
+        }
+
+        test("the victim is a stale handle, else the least popular, and none while all are needed soon") {
+            val popular = IdleHandle("p", true, 5.0, 0)
+            val rare = IdleHandle("r", true, 0.1, 50)
+            chooseVictim(listOf(popular, rare, IdleHandle("s", false, 9.0, 90)), 250, 0).handleOrNull shouldBe "s"
+            chooseVictim(listOf(popular, rare), 250, 0).handleOrNull shouldBe "r"
+            chooseVictim(listOf(popular), 250, 100) shouldBe VictimChoice(null, "all-needed-soon")
+            chooseVictim(listOf(popular), 250, 250).handleOrNull shouldBe "p"
+            chooseVictim(emptyList(), 250, 9_000) shouldBe VictimChoice(null, "all-in-use")
+        }
+
+        test("another target loads an adapter only when the wait exceeds the cost of a load") {
+            rankTargets("a@1", listOf(view("t1"), view("t2", load = 8, loaded = true)), costs).first().target shouldBe "t2"
+            rankTargets("a@1", listOf(view("t1"), view("t2", load = 14, loaded = true)), costs).first().target shouldBe "t1"
+            rankTargets("a@1", listOf(view("t1"), view("t2", loading = true)), costs).first().target shouldBe "t2"
+        }
+
+        test("an unreachable owner comes last") {
+            rankTargets("a@1", listOf(view("t1"), view("t2", loaded = true, reachable = false)), costs).first().target shouldBe "t1"
+        }
+
+        test("homes spread evenly, do not depend on the order of targets, and avoid busy targets") {
+            val targets = (1..13).map { view("t$it") }
+            val homes = (1..3_000).groupingBy { rankTargets("a$it@1", targets, costs).first().target }.eachCount()
+            homes.values.max() shouldBeLessThan 3_000 / 13 * 13 / 10
+            val home = rankTargets("a7@1", targets, costs).first().target
+            rankTargets("a7@1", targets.reversed(), costs).first().target shouldBe home
+            val busy = targets.map { if (it.target == home) view(home, load = 7) else it }
+            (rankTargets("a7@1", busy, costs).first().target == home) shouldBe false
+        }
+    })
--- /dev/null
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/DispatchEnds.kt
@@ -0,0 +1,21 @@
+/*
+ * Ends of model requests.
+ */
+package io.skylarkstile.entry.target
+
+import io.skylarkstile.schema.generated.DispatchEnd
+
+internal val doneEnd = DispatchEnd(DispatchEnd.Outcome.Done)
+
+/** Ends a request of which nothing ran. */
+internal fun notRun(
+    reason: String,
+    detail: String? = null,
+    retryAfterMs: Long? = null,
+): DispatchEnd = DispatchEnd(DispatchEnd.Outcome.NotRun, reason, detail, retryAfterMs)
+
+/** Ends a request that may have run in part or whole. */
+internal fun unknownEnd(
+    reason: String,
+    detail: String? = null,
+): DispatchEnd = DispatchEnd(DispatchEnd.Outcome.Unknown, reason, detail)
--- /dev/null
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/LoadBudget.kt
@@ -0,0 +1,134 @@
+/*
+ * The fleet-wide load budget (design page, 3.6): this instance's part as asker, and as owner of `load-budget` while it holds it.
+ */
+package io.skylarkstile.entry.target
+
+import com.github.michaelbull.result.getOrElse
+import io.skylarkstile.core.cluster.ClusterView
+import io.skylarkstile.core.cluster.Ownership
+import io.skylarkstile.core.cluster.Resource
+import io.skylarkstile.core.cluster.ResourceHolder
+import io.skylarkstile.core.cluster.loadBudgetResource
+import io.skylarkstile.core.load.FallbackPace
+import io.skylarkstile.core.load.LoadKey
+import io.skylarkstile.core.load.LoadLimits
+import io.skylarkstile.core.load.LoadQueue
+import io.skylarkstile.core.load.LoadQueueDump
+import io.skylarkstile.schema.generated.LoadAsk
+import io.skylarkstile.schema.generated.LoadDone
+import io.skylarkstile.schema.generated.LoadGrant
+import io.skylarkstile.transport.peer.PeerNetwork
+import kotlinx.coroutines.delay
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+
+/** The owner answers within [GRANT_WAIT_MS], so a call that takes [CALL_TIMEOUT_MS] has no owner behind it. */
+private const val CALL_TIMEOUT_MS = 1_000L
+
+/** Without an answer for this long, the first members load without the owner. */
+private const val OWNERLESS_MS = 1_000L
+private const val GRANT_WAIT_MS = 500L
+private const val GRANT_POLL_MS = 10L
+private const val DENIED_PAUSE_MS = 50L
+
+/** State of the load budget for dumps. [queue] is null on an instance that does not own it. */
+data class LoadBudgetDump(
+    val queue: LoadQueueDump?,
+    val lastRefusal: String?,
+    val fallbackLoads: Long,
+)
+
+/** Gives load permits to the target owners of all instances while this one owns the budget, and asks the owner otherwise. */
+internal class LoadBudget(
+    private val cluster: ClusterView,
+    private val network: PeerNetwork,
+    private val limits: LoadLimits,
+    private val now: () -> Long,
+) : ResourceHolder,
+    LoadPermits {
+    private val lock = ReentrantLock()
+    private var queue: LoadQueue? = null
+    private val fallback = FallbackPace(limits)
+    private var lastRefusal: String? = null
+    private var fallbackLoads = 0L
+    private var ownerlessSince: Long? = null
+
+    init {
+        network.answer(loadAskKind, loadGrantKind) { _, ask -> granted(ask) ?: LoadGrant(granted = false) }
+        network.receive(loadDoneKind) { _, done -> finished(done.permit) }
+    }
+
+    override fun resources(): List<Resource> = listOf(loadBudgetResource)
+
+    /** Permit numbers start at the epoch times 2^20, so that a late `LoadDone` for a former owner's permit ends none of this one's. */
+    override fun acquired(
+        resource: Resource,
+        epoch: Long,
+    ) = lock.withLock { queue = LoadQueue(limits, now(), firstPermit = epoch shl 20) }
+
+    override fun released(resource: Resource): Map<String, Int> = lock.withLock { emptyMap<String, Int>().also { queue = null } }
+
+    override suspend fun acquireOrNull(ask: LoadAsk): LoadPermit? = when (val ownership = cluster.ownership(loadBudgetResource, now())) {
+        is Ownership.Held -> granted(ask)?.permit?.let { number -> LoadPermit { finished(number) } }
+        is Ownership.Elsewhere -> askOwner(ownership.instance, ask)
+        Ownership.Pending, Ownership.Nobody -> fallbackOrNull()
+    } ?: null.also { delay(DENIED_PAUSE_MS) }
+
+    private suspend fun askOwner(
+        owner: String,
+        ask: LoadAsk,
+    ): LoadPermit? {
+        val grant = network.call(owner, loadAskKind, ask, loadGrantKind, CALL_TIMEOUT_MS).getOrElse { return fallbackOrNull() }
+        lock.withLock { ownerlessSince = null }
+        val number = grant.permit?.takeIf { grant.granted } ?: return null
+        return LoadPermit { network.send(owner, loadDoneKind, LoadDone(number)) }
+    }
+
+    /** Queues [ask] and waits for its permit; null when there is none within 500 ms or this instance does not own the budget. */
+    private suspend fun granted(ask: LoadAsk): LoadGrant? {
+        val key = LoadKey(ask.target, ask.adapter)
+        val until = now() + GRANT_WAIT_MS
+        val askedAt = now()
+        try {
+            do {
+                val waited = ask.oldestMs + now() - askedAt
+                if (!maySend()) return null
+                val queue = lock.withLock { queue?.also { it.ask(key, ask.waiting, waited, now()) } } ?: return null
+                grantOrNull(queue, key)?.let { return it }
+                delay(GRANT_POLL_MS)
+            } while (now() < until)
+            return null
+        } finally {
+            lock.withLock { queue?.withdraw(key) }
+        }
+    }
+
+    private fun maySend(): Boolean = now().let {
+        cluster.ownership(loadBudgetResource, it) is Ownership.Held &&
+            cluster.leaseRemaining(it) > 0
+    }
+
+    /** Takes the permit for [key] when it is the most urgent ask; others are granted when their own senders look. */
+    private fun grantOrNull(
+        queue: LoadQueue,
+        key: LoadKey,
+    ): LoadGrant? = lock.withLock {
+        val decision = queue.grantTo(key, now())
+        lastRefusal = decision.reason
+        decision.permitOrNull?.let { LoadGrant(granted = true, permit = it.number) }
+    }
+
+    private fun finished(number: Long) = lock.withLock { queue?.done(number) ?: Unit }
+
+    private fun fallbackOrNull(): LoadPermit? = lock.withLock {
+        val members = cluster.members().map { it.instance }
+        val refusal = fallback.refusalOrNull(cluster.self, members, now())
+        lastRefusal = refusal?.let { "fallback: $it" }
+        if (refusal != null) return null
+        fallback.start(members.size, now())
+        fallbackLoads++
+        LoadPermit { lock.withLock { fallback.end() } }
+    }
+
+    fun dump(): LoadBudgetDump = lock.withLock { LoadBudgetDump(queue?.dump(now()), lastRefusal, fallbackLoads) }
+}
--- /dev/null
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/TargetOwner.kt
@@ -0,0 +1,170 @@
+/*
+ * The engine targets that this instance owns. All work to a target passes through its owner, which therefore knows exactly what runs there.
+ */
+package io.skylarkstile.entry.target
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.skylarkstile.core.cluster.Resource
+import io.skylarkstile.core.cluster.ResourceHolder
+import io.skylarkstile.core.cluster.targetResource
+import io.skylarkstile.core.dispatch.DispatchEvent
+import io.skylarkstile.core.snapshot.Snapshot
+import io.skylarkstile.core.snapshot.SnapshotSource
+import io.skylarkstile.schema.generated.Dispatch
+import io.skylarkstile.schema.generated.TargetRecord
+import io.skylarkstile.schema.generated.TargetState
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.flowOf
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CopyOnWriteArrayList
+
+private val log = KotlinLogging.logger {}
+
+/** Holds engine targets and runs requests on those that this instance owns. */
+interface TargetOwner : ResourceHolder {
+    /**
+     * Runs [request] on its target. The flow ends with [DispatchEvent.End]: `done` when the whole answer was passed on, `not-run` when nothing
+     * of it ran, `unknown` otherwise. Cancelling the collector cancels the request at the engine.
+     */
+    fun run(request: Dispatch): Flow<DispatchEvent>
+
+    /** Ends all running requests as `unknown` with [reason], for an instance that has been without a lease for too long. */
+    fun abortRunning(reason: String)
+
+    /** Returns the names of the owned targets. */
+    fun targets(): Set<String>
+
+    /** Returns the present state of [target] under a new sequence number, or null when it is not owned here. */
+    fun stateOrNull(target: String): TargetState?
+
+    fun dump(): List<OwnedTargetDump>
+}
+
+/** Creates the [TargetOwner] of the targets in [snapshots]. [onStateChange] is called with a target's name whenever its state has changed. */
+internal fun targetOwner(
+    snapshots: SnapshotSource,
+    env: TargetEnv,
+    onStateChange: (String) -> Unit = {},
+): TargetOwner = OwnedTargets(snapshots, env, onStateChange)
+
+internal class OwnedTargets(
+    private val snapshots: SnapshotSource,
+    private val env: TargetEnv,
+    private val onStateChange: (String) -> Unit,
+) : TargetOwner {
+    private class Owned(
+        val target: OwnedTarget,
+        val control: EngineControl,
+    )
+
+    private val owned = ConcurrentHashMap<String, Owned>()
+
+    /** Epochs of the resources held, also of those whose record is not known yet. */
+    private val epochs = ConcurrentHashMap<Resource, Long>()
+
+    /** Released targets whose requests still run, by name; their handles stay pinned for a later acquisition by this instance. */
+    private val retired = ConcurrentHashMap<String, CopyOnWriteArrayList<OwnedTarget>>()
+
+    init {
+        snapshots.onChange(::recordsChanged)
+    }
+
+    override fun resources(): List<Resource> = snapshots
+        .current()
+        .targets
+        .filterValues { it.type == TargetRecord.Type.Engine }
+        .map { (name, record) -> targetResource(name, record.dataCentre) }
+
+    override fun acquired(
+        resource: Resource,
+        epoch: Long,
+    ) {
+        epochs[resource] = epoch
+        val name = resource.key.substringAfter('/')
+        owned.compute(name) { _, before ->
+            before?.let { retire(it) }
+            factsOrNull(snapshots.current(), name)?.let { start(name, resource, epoch, it) }
+        }
+        onStateChange(name)
+    }
+
+    private fun start(
+        name: String,
+        resource: Resource,
+        epoch: Long,
+        facts: TargetFacts,
+    ): Owned {
+        log.info { "Took over target $name at epoch $epoch" }
+        val target = OwnedTarget(name, epoch, resource, env, facts, { retiredPins(name) }) { onStateChange(name) }
+        return Owned(target, EngineControl(target, env)).also { it.control.start() }
+    }
+
+    private fun retire(owned: Owned) {
+        owned.control.stop()
+        val name = owned.target.name
+        if (owned.target.release().isNotEmpty()) retired.getOrPut(name) { CopyOnWriteArrayList() }.add(owned.target)
+    }
+
+    private fun retiredPins(name: String): Map<String, Int> {
+        val targets = retired[name] ?: return emptyMap()
+        val pins = HashMap<String, Int>()
+        targets.forEach { target ->
+            val running = target.release()
+            if (running.isEmpty()) targets.remove(target)
+            running.forEach { (handle, count) -> pins.merge(handle, count, Int::plus) }
+        }
+        return pins
+    }
+
+    override fun released(resource: Resource): Map<String, Int> {
+        epochs.keys.removeIf { it.key == resource.key }
+        return stop(resource)
+    }
+
+    private fun stop(resource: Resource): Map<String, Int> {
+        val name = resource.key.substringAfter('/')
+        owned.remove(name)?.let { retire(it) }
+        return retiredPins(name)
+    }
+
+    private fun recordsChanged(snapshot: Snapshot) {
+        epochs.forEach { (resource, epoch) ->
+            val target = owned[resource.key.substringAfter('/')]?.target
+            val facts = factsOrNull(snapshot, resource.key.substringAfter('/'))
+            when {
+                facts == null -> stop(resource)
+                target == null || isOtherEngine(facts, target) -> acquired(resource, epoch)
+                else -> target.update(facts)
+            }
+        }
+    }
+
+    private fun isOtherEngine(
+        facts: TargetFacts,
+        target: OwnedTarget,
+    ): Boolean = facts.record.address != target.address || facts.record.fencing != target.fencing
+
+    private fun factsOrNull(
+        snapshot: Snapshot,
+        name: String,
+    ): TargetFacts? {
+        val record = snapshot.targets[name]?.takeIf { it.type == TargetRecord.Type.Engine } ?: return null
+        return TargetFacts(record, accepting = !record.draining && name !in snapshot.leavingTargets)
+    }
+
+    override fun run(request: Dispatch): Flow<DispatchEvent> {
+        val entry = owned[request.target] ?: return flowOf(DispatchEvent.End(notRun("not-owner", "target ${request.target}")))
+        return runOn(entry.target, entry.control, request, env)
+    }
+
+    override fun abortRunning(reason: String) {
+        owned.values.forEach { it.target.abortRunning(reason) }
+        retired.values.flatten().forEach { it.abortRunning(reason) }
+    }
+
+    override fun targets(): Set<String> = owned.keys.toSet()
+
+    override fun stateOrNull(target: String): TargetState? = owned[target]?.target?.state()
+
+    override fun dump(): List<OwnedTargetDump> = owned.values.map { it.target.dump() }
+}
--- /dev/null
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/TargetPart.kt
@@ -0,0 +1,67 @@
+/*
+ * The target part of an entry instance, put together.
+ */
+package io.skylarkstile.entry.target
+
+import io.skylarkstile.core.cluster.ClusterView
+import io.skylarkstile.core.cluster.ResourceHolder
+import io.skylarkstile.core.load.LoadLimits
+import io.skylarkstile.core.retry.RetryBudget
+import io.skylarkstile.core.snapshot.SnapshotSource
+import io.skylarkstile.schema.generated.LoadSettings
+import io.skylarkstile.schema.generated.TargetSettings
+import io.skylarkstile.transport.http.HttpClient
+import io.skylarkstile.transport.peer.PeerNetwork
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+
+/** Settings that the target part uses; [sendMarginMs] is the least remaining lease for sending work or orders, in milliseconds. */
+data class TargetPartSettings(
+    val target: TargetSettings,
+    val load: LoadSettings,
+    val sendMarginMs: Long,
+)
+
+/** Everything of the target part, for dumps. */
+data class TargetPartDump(
+    val owned: List<OwnedTargetDump>,
+    val router: List<RouterDump>,
+    val loadBudget: LoadBudgetDump,
+    val retriesLeft: Map<String, Double>,
+)
+
+/** Runs model requests and owns engine targets. [owner] and [loadBudget] are to be given to the membership as resource holders. */
+class TargetPart internal constructor(
+    val owner: TargetOwner,
+    val loadBudget: ResourceHolder,
+    val router: Router,
+    internal val dispatcher: ModelDispatcher,
+    private val dumper: () -> TargetPartDump,
+) {
+    fun dump(): TargetPartDump = dumper()
+}
+
+/** Creates the target part; its background work runs in [scope]. [now] gives monotonic milliseconds. */
+fun targetPart(
+    cluster: ClusterView,
+    snapshots: SnapshotSource,
+    network: PeerNetwork,
+    http: HttpClient,
+    settings: TargetPartSettings,
+    scope: CoroutineScope,
+    now: () -> Long,
+): TargetPart {
+    val load = settings.load
+    val limits = LoadLimits(load.loadsPerSecond, load.loadsAtOnce, load.adaptersInFlight, settings.target.loadTimeoutMs.toLong())
+    val loadBudget = LoadBudget(cluster, network, limits, now)
+    val router = StateRouter(cluster, snapshots, network, now)
+    val broadcast = StateBroadcast(cluster, network, router::accept, now)
+    val env = TargetEnv(cluster, http, loadBudget, settings.target, settings.sendMarginMs, scope, now)
+    val owner = targetOwner(snapshots, env, broadcast::changed)
+    val budget = RetryBudget()
+    val dispatcher = RetryingDispatcher(cluster.self, router, owner, network, budget, now)
+    scope.launch { broadcast.run(owner) }
+    return TargetPart(owner, loadBudget, router, dispatcher) {
+        TargetPartDump(owner.dump(), router.dump(now()), loadBudget.dump(), budget.dump())
+    }
+}
--- /dev/null
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/TargetRun.kt
@@ -0,0 +1,113 @@
+/*
+ * The course of one model request at its target's owner: wait, send, pass the answer on, release the adapter.
+ */
+package io.skylarkstile.entry.target
+
+import com.github.michaelbull.result.fold
+import io.skylarkstile.core.dispatch.DispatchEvent
+import io.skylarkstile.schema.generated.Dispatch
+import io.skylarkstile.schema.generated.DispatchEnd
+import io.skylarkstile.transport.http.HttpFailure
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.buffer
+import kotlinx.coroutines.flow.channelFlow
+import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.withTimeoutOrNull
+
+/** Runs [request] on [target]; the flow ends with [DispatchEvent.End] unless its collector is cancelled. */
+internal fun runOn(
+    target: OwnedTarget,
+    control: EngineControl,
+    request: Dispatch,
+    env: TargetEnv,
+): Flow<DispatchEvent> = channelFlow {
+    val run = TargetRun(target, request, env) { send(it) }
+    send(DispatchEvent.End(run.run(control)))
+}.buffer(Channel.RENDEZVOUS)
+
+private class TargetRun(
+    private val target: OwnedTarget,
+    private val request: Dispatch,
+    private val env: TargetEnv,
+    private val emit: suspend (DispatchEvent) -> Unit,
+) {
+    private val work = Work(request, env.now())
+    private var tokens = 0
+
+    /** Whether the engine runs nothing of the request. */
+    private var isComplete = true
+
+    suspend fun run(control: EngineControl): DispatchEnd {
+        if (!env.maySend(target.resource, target.epoch)) return notRun("not-owner")
+        return try {
+            target.submit(work) ?: awaitStart(control)
+        } finally {
+            target.finish(work, isComplete, tokens)
+            control.kick()
+        }
+    }
+
+    private suspend fun awaitStart(control: EngineControl): DispatchEnd {
+        control.kick()
+        val decision = withTimeoutOrNull(request.deadlineMs) { work.decision.await() }
+        return when (decision) {
+            null -> notRun("deadline", "target ${target.name}")
+            is Decision.Refuse -> decision.end
+            is Decision.Start -> sendUntilAborted(decision)
+        }
+    }
+
+    private suspend fun sendUntilAborted(start: Decision.Start): DispatchEnd = coroutineScope {
+        val answer = async { sendAndRelay(start) }
+        val remainingMs = request.deadlineMs - (env.now() - work.arrivedAt)
+        val end =
+            withTimeoutOrNull(remainingMs) {
+                select {
+                    answer.onAwait { it }
+                    work.aborted.onAwait { unknownEnd(it, "target ${target.name}") }
+                }
+            }
+        answer.cancelAndJoin()
+        end ?: unknownEnd("deadline", "target ${target.name} did not finish in time")
+    }
+
+    private suspend fun sendAndRelay(start: Decision.Start): DispatchEnd {
+        isComplete = false
+        return target.engine.complete(request, start.handle, env.settings.idleTimeoutMs.toLong()).fold(
+            success = { answer ->
+                target.bootSeen(answer.headers[BOOT_HEADER])
+                val relay = AnswerRelay(request, start.handle, emit)
+                try {
+                    relay.relay(answer).also { ended(it, start) }
+                } finally {
+                    tokens = relay.tokens
+                }
+            },
+            failure = { failedEnd(it) },
+        )
+    }
+
+    private fun ended(
+        end: DispatchEnd,
+        start: Decision.Start,
+    ) {
+        isComplete = end.outcome != DispatchEnd.Outcome.Unknown
+        if (end.reason == "adapter-missing") target.handleMissing(start.handle)
+    }
+
+    private fun failedEnd(failure: HttpFailure): DispatchEnd = when (failure) {
+        is HttpFailure.NotSent -> {
+            isComplete = true
+            val isOwner = env.maySend(target.resource, target.epoch)
+            notRun(if (isOwner) "target-unreachable" else "not-owner", failure.detail)
+        }
+
+        is HttpFailure.NoAnswer -> {
+            unknownEnd("target-no-answer", failure.detail)
+        }
+    }
+}
