--- /dev/null
+++ b/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/limit/WorkspaceQuota.kt
@@ -0,0 +1,299 @@
+/*
+ * Admission of one workspace on one instance: the own share, loans from and to peers, and the requests that wait for tokens.
+ *
+ * All functions are pure decisions: the caller passes the time and the state of the cluster and carries out the returned effects.
+ */
+package io.skylarkstile.core.limit
+
+import kotlin.math.ceil
+
+/** Describes the cluster at one moment. [leaseRemainingMs] is 0 unless this instance is a full member with a lease. */
+data class QuotaEnvironment(
+    val leaseRemainingMs: Long,
+    val members: Int,
+    val incarnation: Long,
+    val peers: Set<String>,
+)
+
+/** One request on its way through [WorkspaceQuota]. */
+class QuotaTicket internal constructor(
+    val cost: Amount,
+    val deadline: Long,
+)
+
+/** Something that the caller of [WorkspaceQuota] has to carry out. */
+sealed interface QuotaEffect {
+    /** The request of [ticket] may run. */
+    data class Admit(
+        val ticket: QuotaTicket,
+        val reservation: Reservation,
+    ) : QuotaEffect
+
+    /** The request of [ticket] must not run; the reasons are those of [Admission.Refused]. */
+    data class Refuse(
+        val ticket: QuotaTicket,
+        val reason: String,
+        val retryAfterMs: Long,
+    ) : QuotaEffect
+
+    /** An ask is to be sent. */
+    data class Ask(
+        val ask: PlannedAsk,
+    ) : QuotaEffect
+
+    /** A settlement is to be sent. */
+    data class Settle(
+        val settlement: Settlement,
+    ) : QuotaEffect
+}
+
+/** Decides admissions of one workspace. It is not thread-safe; `now` is monotonic milliseconds and never decreases. */
+class WorkspaceQuota(
+    startedAt: Long,
+    limits: QuotaLimits,
+    firstAsk: Long,
+    private val waitMs: Long,
+) {
+    val account = ShareAccount(startedAt)
+    private val planner = AskPlanner(firstAsk)
+    private val demand = DemandEstimate()
+    private val waiting = ArrayDeque<QuotaTicket>()
+    private var waitingCost = Amount.NONE
+    private var members = 0
+    private var incarnation: Long? = null
+    private var limited: QuotaLimits? = null
+    private val effects = mutableListOf<QuotaEffect>()
+
+    /** Fleet-wide limits; a change takes effect with the next call of any function. */
+    var limits: QuotaLimits = limits
+
+    /** Returns whether the next [poll] is due soon rather than at leisure. */
+    val isBusy: Boolean get() = waiting.isNotEmpty() || account.hasBorrowed()
+    val waitingRequests: Int get() = waiting.size
+
+    /** Adds a request that costs [cost]; its ticket is admitted, refused or waiting. */
+    fun arrive(
+        now: Long,
+        environment: QuotaEnvironment,
+        cost: Amount,
+    ): Pair<QuotaTicket, List<QuotaEffect>> {
+        val ticket = QuotaTicket(cost, now + waitMs)
+        update(now, environment)
+        when {
+            environment.leaseRemainingMs <= 0 -> refuse(ticket, "no-lease", NO_LEASE_RETRY_MS)
+            !limits.burst.covers(cost) -> refuse(ticket, "too-large", 0)
+            waiting.size >= MAX_WAITING -> refuse(ticket, reason(now, cost), retryAfter(now, cost))
+            else -> {
+                demand.record(now, cost)
+                enqueue(ticket)
+            }
+        }
+        return ticket to decide(now, environment)
+    }
+
+    /** Continues at time [now]: admits, refuses or borrows for waiting requests, and returns loans that are no longer needed. */
+    fun poll(
+        now: Long,
+        environment: QuotaEnvironment,
+    ): List<QuotaEffect> {
+        update(now, environment)
+        return decide(now, environment)
+    }
+
+    /** Adds a grant for [ask]. */
+    fun granted(
+        now: Long,
+        environment: QuotaEnvironment,
+        lender: String,
+        ask: Long,
+        amount: Amount,
+    ): List<QuotaEffect> {
+        update(now, environment)
+        planner.answered(now, ask, amount)?.let { account.borrow(now, lender, ask, it, amount) }
+        return decide(now, environment)
+    }
+
+    /** Notes that [ask] has no answer. */
+    fun askFailed(
+        now: Long,
+        ask: Long,
+    ) = planner.failed(now, ask)
+
+    /** Lends tokens to [borrower] beyond what the own requests need now. */
+    fun lend(
+        now: Long,
+        environment: QuotaEnvironment,
+        borrower: String,
+        ask: Long,
+        wanted: Amount,
+    ): Amount {
+        update(now, environment)
+        return account.lend(now, borrower, ask, wanted, waitingCost + demand.perMs(now) * KEEP_MS)
+    }
+
+    /** Ends a loan to [borrower]. */
+    fun settled(
+        now: Long,
+        environment: QuotaEnvironment,
+        borrower: String,
+        ask: Long,
+        returned: Amount,
+    ): List<QuotaEffect> {
+        update(now, environment)
+        account.settled(now, borrower, ask, returned)
+        return decide(now, environment)
+    }
+
+    /** Returns the [unused] part of [reservation]. */
+    fun refund(
+        now: Long,
+        environment: QuotaEnvironment,
+        reservation: Reservation,
+        unused: Amount,
+    ): List<QuotaEffect> {
+        update(now, environment)
+        account.refund(reservation, unused)
+        return decide(now, environment)
+    }
+
+    /** Removes a waiting request whose caller has gone. */
+    fun abandon(ticket: QuotaTicket) = dequeue(ticket)
+
+    private fun update(
+        now: Long,
+        environment: QuotaEnvironment,
+    ) {
+        account.advance(now, environment.leaseRemainingMs)
+        if (incarnation != null && incarnation != environment.incarnation) account.reset()
+        incarnation = environment.incarnation
+        if (members == environment.members && limited == limits) return
+        members = environment.members
+        limited = limits
+        account.limit(limits, members)
+    }
+
+    private fun decide(
+        now: Long,
+        environment: QuotaEnvironment,
+    ): List<QuotaEffect> {
+        admitWaiting(now)
+        refuseLate(now, environment)
+        if (environment.leaseRemainingMs > 0) planAsks(now, environment)
+        account.giveBack(now - HOLD_MS)
+        account.takeSettlements().mapTo(effects) { QuotaEffect.Settle(it) }
+        return effects.toList().also { effects.clear() }
+    }
+
+    private fun admitWaiting(now: Long) {
+        while (waiting.isNotEmpty()) {
+            val ticket = waiting.first()
+            val reservation = account.reserve(now, ticket.cost) ?: return
+            dequeue(ticket)
+            effects += QuotaEffect.Admit(ticket, reservation)
+        }
+    }
+
+    private fun refuseLate(
+        now: Long,
+        environment: QuotaEnvironment,
+    ) {
+        while (waiting.isNotEmpty() && (waiting.first().deadline <= now || environment.leaseRemainingMs <= 0)) {
+            val ticket = waiting.first()
+            dequeue(ticket)
+            val leased = environment.leaseRemainingMs > 0
+            val reason = if (leased) reason(now, ticket.cost) else "no-lease"
+            val retry = if (leased) retryAfter(now, ticket.cost) else NO_LEASE_RETRY_MS
+            refuse(ticket, reason, retry)
+            admitWaiting(now)
+        }
+    }
+
+    private fun planAsks(
+        now: Long,
+        environment: QuotaEnvironment,
+    ) {
+        val expected = planner.expected(now)
+        val lacking = waitingCost - account.available(now) - expected
+        val urgent = !lacking.positive().isNothing()
+        val ahead = borrowAhead(now)
+        val held = account.borrowed + expected
+        // Asking only when half of what is borrowed ahead is used up keeps the number of messages low.
+        if (!urgent && (ahead * 0.5 - held).positive().isNothing()) return
+        val need = lacking.positive() + (ahead - held).positive()
+        planner.plan(now, need, environment.peers, urgent).mapTo(effects) { QuotaEffect.Ask(it) }
+    }
+
+    /**
+     * Returns how much should be held in loans: the demand of the next moments beyond the own refill, so that peers with full buckets
+     * waste none of theirs, or the peers' part of the whole demand when the own stock is low, so that all stocks fall evenly.
+     */
+    private fun borrowAhead(now: Long): Amount {
+        val demanded = demand.perMs(now).atMost(limits.perSecond * (1.0 / MS_PER_SECOND)) * horizonMs()
+        val own = 1.0 / maxOf(1, members)
+        val isLow = !account.stock.covers(account.capacity * LOW_STOCK)
+        if (isLow) return demanded * (1 - own)
+        return (demanded - limits.perSecond * (horizonMs() / MS_PER_SECOND * own)).positive()
+    }
+
+    /** Returns how far ahead tokens are borrowed in ms: a part of the time in which the burst refills, within bounds. */
+    private fun horizonMs(): Double {
+        val requestsMs = limits.burst.requests / limits.perSecond.requests * MS_PER_SECOND
+        val tokensMs = limits.burst.tokens / limits.perSecond.tokens * MS_PER_SECOND
+        return (minOf(requestsMs, tokensMs) / 4).coerceIn(MIN_HORIZON_MS, MAX_HORIZON_MS)
+    }
+
+    private fun enqueue(ticket: QuotaTicket) {
+        waiting.addLast(ticket)
+        waitingCost += ticket.cost
+    }
+
+    private fun dequeue(ticket: QuotaTicket) {
+        if (!waiting.remove(ticket)) return
+        // Sums of fractions drift; an empty queue costs exactly nothing.
+        waitingCost = if (waiting.isEmpty()) Amount.NONE else waitingCost - ticket.cost
+    }
+
+    private fun reason(
+        now: Long,
+        cost: Amount,
+    ): String = if (account.available(now).requests + Amount.ROUNDING < cost.requests) "rate" else "token-rate"
+
+    /** Returns the time in ms in which the fleet refills what [cost] and the requests before it lack. */
+    private fun retryAfter(
+        now: Long,
+        cost: Amount,
+    ): Long {
+        val lacking = (cost + waitingCost - account.available(now)).positive()
+        val seconds = maxOf(lacking.requests / limits.perSecond.requests, lacking.tokens / limits.perSecond.tokens)
+        return ceil(seconds * MS_PER_SECOND).toLong().coerceIn(MIN_RETRY_MS, MAX_RETRY_MS)
+    }
+
+    private fun refuse(
+        ticket: QuotaTicket,
+        reason: String,
+        retryAfterMs: Long,
+    ) {
+        effects += QuotaEffect.Refuse(ticket, reason, retryAfterMs)
+    }
+
+    private companion object {
+        const val MS_PER_SECOND = 1_000.0
+
+        /** Waiting requests beyond this number are refused at once; a wait of 50 ms could not serve them. */
+        const val MAX_WAITING = 1_000
+
+        /** Loans asked for this long ago are returned, early enough for the settlement to arrive before the lender ends the loan. */
+        const val HOLD_MS = 350L
+
+        /** Own demand in ms that is not lent; lending it would only be borrowed back. */
+        const val KEEP_MS = 50.0
+
+        /** Part of the own capacity below which the stock counts as low. */
+        const val LOW_STOCK = 0.75
+        const val MIN_HORIZON_MS = 60.0
+        const val MAX_HORIZON_MS = 250.0
+        const val MIN_RETRY_MS = 50L
+        const val MAX_RETRY_MS = 60_000L
+        const val NO_LEASE_RETRY_MS = 1_000L
+    }
+}
