--- a/skylarkstile-standin/src/main/kotlin/io/skylarkstile/standin/main/Main.kt
+++ b/skylarkstile-standin/src/main/kotlin/io/skylarkstile/standin/main/Main.kt
@@ -3,11 +3,8 @@
  */
 package io.skylarkstile.standin.main
 
-import ch.qos.logback.classic.Level
-import ch.qos.logback.classic.LoggerContext
-import ch.qos.logback.classic.encoder.PatternLayoutEncoder
-import ch.qos.logback.classic.spi.ILoggingEvent
-import ch.qos.logback.core.ConsoleAppender
+import io.skylarkstile.config.log.configureLogging
+import io.skylarkstile.schema.generated.LogSettings
 import io.skylarkstile.standin.engine.EngineSettings
 import io.skylarkstile.standin.engine.engineStandin
 import io.skylarkstile.standin.http.Standin
@@ -26,38 +23,18 @@
 import kotlinx.cli.Subcommand
 import kotlinx.cli.default
 import kotlinx.cli.multiple
-import org.slf4j.Logger
-import org.slf4j.LoggerFactory
 import java.util.concurrent.CountDownLatch
 import kotlin.system.exitProcess
 
 /** Starts the stand-in that the first argument names. */
 @OptIn(ExperimentalCli::class)
 fun main(args: Array<String>) {
-    logWarningsOnStandardError()
+    configureLogging(LogSettings(level = LogSettings.Level.Warn))
     val parser = ArgParser("skylarkstile-standin")
     parser.subcommands(ObjectsCommand(), EngineCommand(), ServiceCommand(), WeightsCommand(), ProxyCommand())
     parser.parse(args.ifEmpty { arrayOf("--help") })
 }
 
-/** Logback's own default writes debug lines to standard output, where the line `ready <address>` is expected. */
-private fun logWarningsOnStandardError() {
-    val context = LoggerFactory.getILoggerFactory() as? LoggerContext ?: return
-    context.reset()
-    val pattern = PatternLayoutEncoder()
-    pattern.context = context
-    pattern.pattern = "%d{HH:mm:ss.SSS} %-5level %logger{0} %msg%n"
-    pattern.start()
-    val appender = ConsoleAppender<ILoggingEvent>()
-    appender.context = context
-    appender.encoder = pattern
-    appender.target = "System.err"
-    appender.start()
-    val root = context.getLogger(Logger.ROOT_LOGGER_NAME)
-    root.level = Level.WARN
-    root.addAppender(appender)
-}
-
 /** What the subcommands have in common. */
 @OptIn(ExperimentalCli::class)
 private abstract class StandinCommand(
