--- /dev/null
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/snapshot/SnapshotRoles.kt
@@ -0,0 +1,36 @@
+/*
+ * Decides which members watch the object API and which poll its instance list, so that platform calls do not grow with the fleet.
+ */
+package io.skylarkstile.entry.snapshot
+
+import io.skylarkstile.schema.generated.Member
+import java.util.zip.CRC32
+
+/** Up to this number of active members all of them watch. */
+private const val SMALL_FLEET = 6
+
+/** Watchers in each data centre of a larger fleet; one may be lost without a gap. */
+private const val WATCHERS_PER_DATA_CENTRE = 2
+
+/** Members that poll the instance list. */
+private const val POLLERS = 2
+
+/** Returns the names of the members that watch the object API. */
+internal fun watchers(members: List<Member>): Set<String> {
+    val active = ranked(members)
+    if (active.size <= SMALL_FLEET) return active.map { it.instance }.toSet()
+    return active
+        .groupBy { it.dataCentre }
+        .values
+        .flatMap { it.take(WATCHERS_PER_DATA_CENTRE) }
+        .map { it.instance }
+        .toSet()
+}
+
+/** Returns the names of the members that poll the instance list. */
+internal fun pollers(members: List<Member>): Set<String> = ranked(members).take(POLLERS).map { it.instance }.toSet()
+
+private fun ranked(members: List<Member>): List<Member> =
+    members.filter { it.state == Member.State.Active }.sortedWith(compareBy({ rank(it.instance) }, { it.instance }))
+
+private fun rank(instance: String): Long = CRC32().apply { update(instance.toByteArray()) }.value
--- /dev/null
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/snapshot/SnapshotSync.kt
@@ -0,0 +1,267 @@
+/*
+ * Keeps an instance's snapshot up to date: from the object API when this instance is a watcher, and from peers always.
+ * A push is an announcement of a revision; the receiver pulls what it lacks, so a lost or late push can neither leave a gap nor
+ * bring back an old record.
+ */
+package io.skylarkstile.entry.snapshot
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.get
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import io.skylarkstile.config.log.event
+import io.skylarkstile.config.record.RecordKind
+import io.skylarkstile.core.snapshot.Snapshot
+import io.skylarkstile.core.snapshot.SnapshotSource
+import io.skylarkstile.schema.generated.Member
+import io.skylarkstile.schema.generated.SnapshotPull
+import io.skylarkstile.schema.generated.SnapshotPush
+import io.skylarkstile.transport.peer.MessageKind
+import io.skylarkstile.transport.peer.PeerNetwork
+import io.skylarkstile.transport.platform.ListedInstance
+import io.skylarkstile.transport.platform.ObjectStore
+import io.skylarkstile.transport.platform.RecordList
+import io.skylarkstile.transport.platform.StoreError
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.json.JsonElement
+import kotlin.random.Random
+
+private val log = KotlinLogging.logger {}
+
+/** Interval between polls of the instance list and between announcements of leaving targets, in milliseconds. */
+private const val POLL_MS = 1_000L
+
+/** Longest time between two comparisons with the peers' revisions in milliseconds; heartbeats come as often. */
+private const val COMPARE_MS = 500L
+
+/** Longest wait for records of peers before the first list, and the interval of looking for them, in milliseconds. */
+private const val PEERS_FIRST_MS = 500L
+private const val PEERS_CHECK_MS = 50L
+
+/** Time limit of one page of a pull in milliseconds. */
+private const val PAGE_TIMEOUT_MS = 1_000L
+
+/** Pause after a failed call to the object API in milliseconds: the first, and the longest after doubling. */
+private const val FIRST_PAUSE_MS = 100L
+private const val LONGEST_PAUSE_MS = 2_000L
+
+/** Peers that a change is announced to; in a larger fleet the others learn of it from these or from heartbeats. */
+private const val ANNOUNCED_PEERS = 16
+
+/** Announcements of leaving targets: on each of the first polls after a change, then on every fifth. */
+private const val QUICK_ANNOUNCEMENTS = 3
+private const val SLOW_ANNOUNCEMENT = 5
+
+/** Says where this instance stands; all are called often and must be cheap. */
+class SnapshotSurroundings(
+    val self: String,
+    /** Returns the members of the newest known roster. */
+    val members: () -> List<Member>,
+    /** Returns the snapshot revision that each peer has last reported. */
+    val peerRevisions: () -> Map<String, Long>,
+)
+
+/** Keeps the snapshot of one instance. [watchMs] is the longest wait of a watch in milliseconds. */
+class SnapshotSync internal constructor(
+    private val around: SnapshotSurroundings,
+    private val store: ObjectStore,
+    private val peers: PeerNetwork,
+    private val watchMs: Long,
+    private val keeper: SnapshotKeeper,
+) : SnapshotSource by keeper {
+    private val wake = Channel<Unit>(Channel.CONFLATED)
+    private val counters = SyncCounters()
+
+    /** Revision that heartbeats report. */
+    val revision: Long get() = keeper.state.revision
+
+    /** Registers the message handlers and starts the loops in [scope]. */
+    fun start(scope: CoroutineScope) {
+        peers.answer(snapshotPull, snapshotPush) { _, pull -> keeper.state.page(pull.after, pull.offset, current().leavingTargets) }
+        peers.receive(snapshotPush, ::pushed)
+        scope.launch { watchLoop() }
+        scope.launch { pullLoop() }
+        scope.launch { pollLoop() }
+    }
+
+    /** Tells that a peer has reported a higher revision; the next pull starts at once. */
+    fun peerAhead() {
+        wake.trySend(Unit)
+    }
+
+    /** Returns the state for the dump. Records appear as counts, and unreadable ones by name, so no key or hash is shown. */
+    fun dump(): JsonElement = dumpOf(keeper.state, current(), isWatcher(), isPoller(), counters)
+
+    private fun isWatcher() = around.self in watchers(around.members())
+
+    private fun isPoller() = around.self in pollers(around.members())
+
+    /**
+     * Waits for peers before the first list: the records of a peer carry a revision that the others know, while a list carries the
+     * platform's newest and would make every peer compare all records with it.
+     */
+    private suspend fun awaitPeers() {
+        withTimeoutOrNull(PEERS_FIRST_MS) { while (keeper.state.known == 0L) delay(PEERS_CHECK_MS) }
+    }
+
+    private suspend fun watchLoop() {
+        awaitPeers()
+        var pauseMs = FIRST_PAUSE_MS
+        forever("watch") {
+            val first = keeper.state.known == 0L
+            if (!first && !isWatcher()) {
+                delay(COMPARE_MS)
+            } else if (if (first) list() else watch()) {
+                pauseMs = FIRST_PAUSE_MS
+            } else {
+                delay(pauseMs + Random.nextLong(pauseMs))
+                pauseMs = (pauseMs * 2).coerceAtMost(LONGEST_PAUSE_MS)
+            }
+        }
+    }
+
+    private suspend fun list(): Boolean {
+        val answer = store.list(RecordKind.labels)
+        answer.get()?.let { list -> advance { it.listed(list.records, list.revision) } }
+        return noted(answer) && keeper.state.known > 0L
+    }
+
+    private suspend fun watch(): Boolean {
+        val after = keeper.state.known
+        val answer = store.watch(RecordKind.labels, after, watchMs)
+        answer.get()?.let { list -> advance { it.changed(list.records, after, list.revision) } }
+        return answer.fold({ noted(answer) }, { if (it is StoreError.HistoryGone) list() else noted(answer) })
+    }
+
+    private fun noted(answer: Result<RecordList, StoreError>): Boolean {
+        val works = answer.fold({ true }, { false })
+        if (counters.platformWorks.getAndSet(works) != works) {
+            log.event(Level.INFO, if (works) "snapshot-platform-back" else "snapshot-platform-lost") {
+                if (works) "records come from the platform again" else "records come from peers: ${answer.fold({ "" }, { it.toString() })}"
+            }
+        }
+        return works
+    }
+
+    private suspend fun pullLoop() = forever("pull") {
+        withTimeoutOrNull(if (keeper.state.known == 0L) PEERS_CHECK_MS else COMPARE_MS) { wake.receive() }
+        candidates().firstOrNull { pullFrom(it) }
+    }
+
+    /** Peers that are ahead, the furthest first. Without any snapshot every connected peer is asked. */
+    private fun candidates(): List<String> {
+        val known = keeper.state.known
+        val connected = peers.connected()
+        val revisions = around.peerRevisions().toMutableMap()
+        counters.announced.forEach { (peer, revision) -> revisions.merge(peer, revision, ::maxOf) }
+        val reported = revisions.filter { it.key in connected && it.value > known }
+        val ahead = reported.entries.sortedByDescending { it.value }.map { it.key }
+        return if (known == 0L) ahead + (connected - ahead.toSet()).shuffled() else ahead
+    }
+
+    private suspend fun pullFrom(peer: String): Boolean {
+        val pulled =
+            pull(keeper.state.known) { ask -> peers.call(peer, snapshotPull, ask, snapshotPush, PAGE_TIMEOUT_MS).get() } ?: return false
+        counters.pulls.incrementAndGet()
+        counters.announced[peer] = pulled.revision
+        val changed = advance(pulled::addTo)
+        if (!keeper.knowsLeaving()) keeper.leaving(peer, pulled.leavingTargets, pollers(around.members()))
+        return changed
+    }
+
+    private fun advance(next: (SnapshotState) -> SnapshotState): Boolean =
+        keeper.advance(next).also { if (it) announce(peers.connected().shuffled().take(ANNOUNCED_PEERS), current()) }
+
+    private fun announce(
+        to: Collection<String>,
+        snapshot: Snapshot,
+        leaving: Set<String> = emptySet(),
+        fromPoller: Boolean = false,
+    ) {
+        val push = SnapshotPush(snapshot.revision, complete = false, more = !fromPoller, emptyList(), leaving.sorted())
+        to.forEach { peers.send(it, snapshotPush, push) }
+    }
+
+    /** Takes an announcement: with `more` of a revision that can be pulled, without it of the leaving targets that a poller has seen. */
+    private fun pushed(
+        from: String,
+        push: SnapshotPush,
+    ) {
+        counters.pushes.incrementAndGet()
+        if (!push.more) keeper.leaving(from, push.leavingTargets.toSet(), pollers(around.members()))
+        if (push.revision > keeper.state.known) {
+            counters.announced[from] = push.revision
+            wake.trySend(Unit)
+        }
+    }
+
+    private suspend fun pollLoop() {
+        var polls = 0
+        var reported: Set<String>? = null
+        forever("poll") {
+            delay(POLL_MS)
+            val listed = if (isPoller()) store.instances().get() else null
+            if (listed != null) {
+                val leaving = leavingTargets(listed, current())
+                polls = if (leaving == reported) polls + 1 else 0
+                reported = leaving
+                keeper.leaving(around.self, leaving, pollers(around.members()))
+                val due = polls < QUICK_ANNOUNCEMENTS || polls % SLOW_ANNOUNCEMENT == 0
+                if (due) announce(peers.connected(), current(), leaving, fromPoller = true)
+            }
+        }
+    }
+
+    /** Repeats [step]. An unexpected exception is logged and does not end the loop, since the snapshot would then stay old unnoticed. */
+    private suspend fun forever(
+        loop: String,
+        step: suspend () -> Unit,
+    ) {
+        while (true) {
+            try {
+                step()
+            } catch (e: CancellationException) {
+                throw e
+            } catch (e: Exception) {
+                log.event(
+                    Level.ERROR,
+                    "snapshot-loop-failed",
+                    "loop" to loop,
+                    cause = e,
+                ) { "the $loop loop of the snapshot failed; it goes on" }
+                delay(LONGEST_PAUSE_MS)
+            }
+        }
+    }
+}
+
+/** Creates the keeper of an instance's snapshot; [SnapshotSync.start] begins its work. */
+fun snapshotSync(
+    around: SnapshotSurroundings,
+    store: ObjectStore,
+    peers: PeerNetwork,
+    watchMs: Long,
+): SnapshotSync = SnapshotSync(around, store, peers, watchMs, SnapshotKeeper())
+
+/** Returns the targets that the platform lists as leaving, matched by name or address. */
+internal fun leavingTargets(
+    listed: List<ListedInstance>,
+    snapshot: Snapshot,
+): Set<String> {
+    val leaving = listed.filter { it.state == "leaving" }
+    val names = leaving.map { it.instance }.toSet()
+    val addresses = leaving.map { it.address }.toSet()
+    return snapshot.targets
+        .filter { (name, target) -> name in names || target.address in addresses }
+        .keys
+        .toSet()
+}
+
+internal val snapshotPull = MessageKind("SnapshotPull", SnapshotPull.serializer())
+internal val snapshotPush = MessageKind("SnapshotPush", SnapshotPush.serializer())
--- /dev/null
+++ b/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/snapshot/SnapshotStateSpec.kt
@@ -0,0 +1,176 @@
+/*
+ * Checks that a snapshot never goes back and always equals what the platform held at its revision, whatever order lists, watches,
+ * pulls and restarts come in.
+ */
+package io.skylarkstile.entry.snapshot
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.longs.shouldBeGreaterThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
+import io.skylarkstile.config.log.configureLogging
+import io.skylarkstile.schema.generated.LogSettings
+import io.skylarkstile.schema.generated.Member
+import io.skylarkstile.schema.generated.StoredRecord
+import io.skylarkstile.transport.platform.ListedInstance
+import kotlin.random.Random
+
+private const val WORKSPACE = """{"schemaVersion":1,"rate":1,"burst":1}"""
+
+/** Keeps every revision's content, so that a snapshot can be compared with what was true at its revision. */
+private class Platform {
+    val content = sortedMapOf<String, StoredRecord>()
+    private val history = mutableMapOf<Long, List<StoredRecord>>(0L to emptyList())
+    private val changes = mutableListOf<StoredRecord>()
+    var revision = 0L
+
+    fun put(name: String) {
+        val record = StoredRecord("workspace", name, (content[name]?.version ?: 0) + 1, ++revision, WORKSPACE)
+        content[name] = record
+        note(record)
+    }
+
+    fun remove(name: String) {
+        if (content.remove(name) != null) note(StoredRecord("workspace", name, 0, ++revision, null))
+    }
+
+    /** Stands for a write of another kind, which raises the revision without changing a record. */
+    fun other() {
+        revision++
+        history[revision] = content.values.toList()
+    }
+
+    fun at(revision: Long): List<StoredRecord> = history.getValue(revision)
+
+    /** Returns the newest change of each record after [after], as a watch does. */
+    fun after(after: Long): List<StoredRecord> = changes
+        .filter { it.revision > after }
+        .associateBy { it.name }
+        .values
+        .toList()
+
+    private fun note(record: StoredRecord) {
+        changes += record
+        history[revision] = content.values.toList()
+    }
+}
+
+class SnapshotStateSpec :
+    FunSpec({
+        beforeSpec { configureLogging(LogSettings(level = LogSettings.Level.Error)) }
+
+        // Guards against records that come back after a removal, gaps in incremental pulls, and pages of different revisions.
+        test("under generated writes, lists, watches, pulls with interleaved changes and restarts, no snapshot goes back or differs") {
+            checkAll(PropTestConfig(iterations = 400), Arb.long()) { seed ->
+                val random = Random(seed)
+                val platform = Platform()
+                val keepers = Array(4) { SnapshotKeeper() }
+                repeat(120) {
+                    val index = random.nextInt(keepers.size)
+                    val keeper = keepers[index]
+                    val before = keeper.state
+                    when (random.nextInt(10)) {
+                        0, 1, 2 -> platform.put("w${random.nextInt(6)}")
+                        3 -> platform.remove("w${random.nextInt(6)}")
+                        4 -> platform.other()
+                        5 -> keeper.advance { it.listed(platform.content.values.toList(), platform.revision) }
+                        6 -> keeper.advance { it.changed(platform.after(before.known), before.known, platform.revision) }
+                        7, 8 -> pullBetween(keepers[random.nextInt(keepers.size)], keeper, platform, random)
+                        else -> if (random.nextInt(5) == 0) keepers[index] = SnapshotKeeper()
+                    }
+                    if (keepers[index] === keeper) {
+                        keeper.state.known shouldBeGreaterThanOrEqual before.known
+                        keeper.state.revision shouldBeGreaterThanOrEqual before.revision
+                    }
+                    withClue("seed $seed") {
+                        for (each in keepers) {
+                            each.state.table.stored shouldBe platform.at(each.state.revision)
+                            each.state.table.stored shouldBe platform.at(each.state.known)
+                        }
+                    }
+                }
+            }
+        }
+
+        test("a full pull comes in pages bounded by count and size") {
+            val big = StoredRecord("workspace", "w", 1, 1, "x".repeat(200_000))
+            val records = (1..1_200).map { StoredRecord("workspace", "w%04d".format(it), 1, it.toLong(), WORKSPACE) }
+            val state = SnapshotState().listed(records, 1_200)
+            val sizes =
+                generateSequence(state.page(0, 0, emptySet()) to 0) { (page, at) ->
+                    if (page.more) state.page(0, at + page.records.size, emptySet()) to at + page.records.size else null
+                }.map { it.first.records.size }.toList()
+            sizes shouldBe listOf(500, 500, 200)
+            SnapshotState()
+                .listed(listOf(big, big.copy(name = "v")), 2)
+                .page(0, 0, emptySet())
+                .records.size shouldBe 1
+        }
+
+        test("an older list or pull changes nothing") {
+            val keeper = SnapshotKeeper()
+            keeper.advance { it.listed(listOf(StoredRecord("workspace", "a", 1, 9, WORKSPACE)), 9) } shouldBe true
+            keeper.advance { it.listed(emptyList(), 8) } shouldBe false
+            keeper.advance { it.changed(listOf(StoredRecord("workspace", "a", 1, 8, null)), 0, 8) } shouldBe false
+            keeper.current().workspaces.keys shouldBe setOf("a")
+        }
+
+        test("listeners see rising revisions, and one that throws does not stop the others") {
+            val keeper = SnapshotKeeper()
+            val seen = mutableListOf<Long>()
+            keeper.onChange { error("broken listener") }
+            keeper.onChange { seen += it.revision }
+            repeat(5) { step -> keeper.advance { it.listed(listOf(StoredRecord("workspace", "a", 1, step + 1L, WORKSPACE)), step + 1L) } }
+            seen shouldBe listOf(1L, 2L, 3L, 4L, 5L)
+        }
+
+        test("leaving targets are the union of the pollers' reports and match by name or address") {
+            val keeper = SnapshotKeeper()
+            keeper.leaving("a", setOf("x"), setOf("a", "b"))
+            keeper.leaving("b", setOf("y"), setOf("a", "b"))
+            keeper.current().leavingTargets shouldBe setOf("x", "y")
+            keeper.leaving("c", emptySet(), setOf("b", "c"))
+            keeper.current().leavingTargets shouldBe setOf("y")
+            val target =
+                """{"schemaVersion":1,"type":"service","address":"127.0.0.1:9","dataCentre":"a","service":"s"}"""
+            keeper.advance { it.listed(listOf(StoredRecord("target", "t1", 1, 1, target)), 1) }
+            leavingTargets(listOf(ListedInstance("i-7", "127.0.0.1:9", "a", "leaving")), keeper.current()) shouldBe setOf("t1")
+            leavingTargets(listOf(ListedInstance("t1", "127.0.0.1:8", "a", "live")), keeper.current()) shouldBe emptySet()
+        }
+
+        test("all members of a small fleet watch, and two in each data centre of a large one; two poll") {
+            fun members(count: Int) = (1..count).map { Member("i$it", 1, "", "", "dc${it % 8}", Member.State.Active) }
+            watchers(members(6)).size shouldBe 6
+            watchers(members(340)).size shouldBe 16
+            pollers(members(340)).size shouldBe 2
+            watchers(members(340).map { it.copy(state = Member.State.Joining) }).size shouldBe 0
+            (watchers(members(340)) + pollers(members(340))).size shouldBeGreaterThan 15
+        }
+    })
+
+private suspend fun pullBetween(
+    from: SnapshotKeeper,
+    to: SnapshotKeeper,
+    platform: Platform,
+    random: Random,
+) {
+    val pulled =
+        pull(to.state.known) { ask ->
+            if (random.nextInt(4) == 0) {
+                platform.put("w${random.nextInt(6)}")
+                from.advance { it.changed(platform.after(it.known), it.known, platform.revision) }
+            }
+            // Pages of one record make changes between pages likely.
+            val page = from.state.page(ask.after, ask.offset, emptySet())
+            val cut = page.records.take(1)
+            page.copy(records = cut, more = page.more || page.records.size > 1).takeIf { random.nextInt(20) != 0 }
+        }
+    // The receiver may have moved on while it pulled.
+    if (random.nextInt(4) == 0) to.advance { it.changed(platform.after(it.known), it.known, platform.revision) }
+    if (pulled != null) to.advance(pulled::addTo)
+}
