--- a/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/NettyHttpClient.kt
+++ b/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/NettyHttpClient.kt
@@ -177,7 +177,7 @@
     private suspend fun connect(address: String): ClientConnection {
         val future = bootstrap.connect(socketAddress(address))
         try {
-            future.await()
+            future.awaitDone()
         } catch (e: CancellationException) {
             future.channel().close()
             throw e
--- a/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/NettyHttpServer.kt
+++ b/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/NettyHttpServer.kt
@@ -75,7 +75,7 @@
 
     override suspend fun drain(timeoutMs: Long): Boolean {
         draining = true
-        listener.close().await()
+        listener.close().awaitDone()
         val end = System.nanoTime() + timeoutMs * NANOS_PER_MS
         connections.forEach { it.closeWhenIdle() }
         while (active.get() > 0 && System.nanoTime() < end) delay(DRAIN_POLL_MS)
--- a/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/NettySupport.kt
+++ b/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/NettySupport.kt
@@ -20,8 +20,8 @@
     MultiThreadIoEventLoopGroup(EVENT_LOOP_THREADS, DefaultThreadFactory("http-loop", true), NioIoHandler.newFactory())
 }
 
-/** Waits for the operation to end; throws its cause when it failed. */
-internal suspend fun ChannelFuture.await() {
+/** Waits for the operation to end; throws its cause when it failed. The name differs from ChannelFuture.await, which blocks the thread. */
+internal suspend fun ChannelFuture.awaitDone() {
     if (isDone) {
         if (!isSuccess) throw cause()
         return
--- a/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/ServerConnection.kt
+++ b/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/ServerConnection.kt
@@ -202,13 +202,13 @@
         channel.write(response)
         if (answer.length == null) channel.flush()
         if (request.method().name() != "HEAD") answer.body.collect { send(it) }
-        withTimeout(WRITE_TIMEOUT_MS) { channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).await() }
+        withTimeout(WRITE_TIMEOUT_MS) { channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).awaitDone() }
         if (close) channel.close()
     }
 
     /** Writes one part and waits until the socket has taken it, so that a slow reader slows down its own answer only. */
     private suspend fun send(part: ByteArray) =
-        withTimeout(WRITE_TIMEOUT_MS) { channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(part))).await() }
+        withTimeout(WRITE_TIMEOUT_MS) { channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(part))).awaitDone() }
 
     private fun reject(status: HttpResponseStatus) {
         rejected = true
