--- a/skylarkstile-standin/src/main/kotlin/io/skylarkstile/standin/engine/AdapterSlots.kt
+++ b/skylarkstile-standin/src/main/kotlin/io/skylarkstile/standin/engine/AdapterSlots.kt
@@ -9,7 +9,7 @@
 /** One loaded adapter in reports; [running] counts its requests, queued ones included. */
 @Serializable
 internal data class LoadedAdapter(
-    val handle: String,
+    val name: String,
     val path: String,
     val running: Int,
 )
--- a/skylarkstile-standin/src/main/kotlin/io/skylarkstile/standin/engine/EngineReports.kt
+++ b/skylarkstile-standin/src/main/kotlin/io/skylarkstile/standin/engine/EngineReports.kt
@@ -7,21 +7,22 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
 /** Answer of `GET /v1/state`. */
 @Serializable
 internal data class EngineReport(
-    val bootId: String,
+    @SerialName("boot_id") val bootId: String,
     val slots: Int,
-    val maxBatch: Int,
+    @SerialName("max_batch") val maxBatch: Int,
     val loaded: List<LoadedAdapter>,
     val loading: List<String>,
     val running: Int,
     val queued: Int,
-    val fencingNumber: Long,
+    @SerialName("fencing_number") val fencingNumber: Long,
     /** Time since this state was observed, in milliseconds. */
-    val ageMs: Long = 0,
+    @SerialName("age_ms") val ageMs: Long = 0,
 )
 
 internal class EngineReports(
--- /dev/null
+++ b/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/harness/EntryFleetSpec.kt
@@ -0,0 +1,66 @@
+/*
+ * Smoke test of entry instances in front of the stand-ins: one request of each form takes its whole way.
+ */
+package io.skylarkstile.tests.harness
+
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlin.time.Duration.Companion.seconds
+
+class EntryFleetSpec :
+    FunSpec({
+        suspend fun Fleet.prepared(): Fleet {
+            start()
+            weights()
+            records.workspace("cairo")
+            records.workspace("perth")
+            records.adapter("stamps", "cairo", version = "3")
+            records.version("stamps", "2")
+            records.modelRoute("open-stamps", "cairo", "stamps", open = true)
+            records.serviceRoute("registry", "cairo", "registry")
+            coroutineScope {
+                val targets = (1..2).map { async { engine("engine-$it") } } + async { service("registry-1", "registry") }
+                targets.awaitAll()
+            }
+            return this
+        }
+
+        test("completions, chats and reads reach the right adapter and service, and no target sees the key") {
+            Fleet("entry").use { fleet ->
+                fleet.prepared()
+                val key = fleet.records.key("cairo-1", "cairo")
+                val entry = fleet.entry("entry-1")
+                val caller = Caller(fleet.client, entry.process.address, key)
+                for (ask in listOf(Ask("stamps"), Ask("stamps", stream = false), Ask("stamps", chat = true))) {
+                    caller.send(ask).shouldAnswer(ask, version = "3")
+                }
+                Ask("stamps@2").let { caller.send(it).shouldAnswer(it, version = "2") }
+                caller.call("GET", "/svc/registry/registrations").status shouldBe 200
+                for (target in fleet.targets) {
+                    target.control.receivedWith(key.substringAfterLast('-')) shouldBe 0
+                    if (target.record.baseModel != null) target.control.value("orders", "evictionsInUse") shouldBe "0"
+                }
+            }
+        }
+
+        test("a key of another workspace and a withdrawn key are refused as not-run") {
+            Fleet("entry-keys").use { fleet ->
+                fleet.prepared()
+                val cairo = fleet.records.key("cairo-1", "cairo")
+                val perth = fleet.records.key("perth-1", "perth")
+                val entry = fleet.entry("entry-1")
+                val foreign = Caller(fleet.client, entry.process.address, perth).send(Ask("stamps"))
+                (foreign.status in 400..499) shouldBe true
+                foreign.outcome shouldBe "not-run"
+                fleet.records.withdrawKey("cairo-1")
+                eventually(3.seconds) {
+                    Caller(fleet.client, entry.process.address, cairo).send(Ask("stamps")).status shouldBe 401
+                }
+                fleet.targets.mapNotNull { it.control.valueOrNull("repeated") }.all { it == "{}" } shouldBe true
+            }
+        }
+    })
--- a/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/harness/Fleet.kt
+++ b/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/harness/Fleet.kt
@@ -8,11 +8,14 @@
 import io.skylarkstile.transport.http.httpClient
 import io.skylarkstile.transport.platform.ListedInstance
 import io.skylarkstile.transport.platform.objectStore
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.jsonObject
 import java.io.File
+import java.util.concurrent.CopyOnWriteArrayList
 
 /** One target of a fleet; [address] is the one in its record, behind the proxy where there is one. */
 internal class FleetTarget(
@@ -23,7 +26,7 @@
     val record: TargetRecord,
 )
 
-/** Starts and ends the processes of one test. [proxied] puts a link of the fault proxy on each edge. */
+/** Starts and ends the processes of one test; targets may be started concurrently. [proxied] puts a link of the fault proxy on each edge. */
 internal class Fleet(
     name: String,
     private val proxied: Boolean = false,
@@ -31,9 +34,17 @@
 ) : AutoCloseable {
     val client = httpClient(connectTimeoutMs = 1_000)
     private val directory = File("target/harness/$name-${System.currentTimeMillis()}")
-    private val children = mutableListOf<ChildProcess>()
+    private val children = CopyOnWriteArrayList<ChildProcess>()
     private val listed = mutableListOf<ListedInstance>()
-    private val entries = mutableListOf<EntryInstance>()
+    private val entries = CopyOnWriteArrayList<EntryInstance>()
+
+    /** Serialises changes of the instance list, which is written whole. */
+    private val listing = Mutex()
+
+    private val started = CopyOnWriteArrayList<FleetTarget>()
+
+    /** Engines and services in the order in which they were ready. */
+    val targets: List<FleetTarget> get() = started
 
     /** The object API; [start] must have run. */
     lateinit var objects: Control
@@ -144,9 +155,11 @@
         record: TargetRecord,
     ): FleetTarget {
         records.target(name, record)
-        listed += ListedInstance(name, record.address, record.dataCentre, "live")
-        objects.set("""{"instances":${Json.encodeToString(listed.toList())}}""")
-        return FleetTarget(name, process, Control(client, process.address), record.address, record)
+        listing.withLock {
+            listed += ListedInstance(name, record.address, record.dataCentre, "live")
+            objects.set("""{"instances":${Json.encodeToString(listed)}}""")
+        }
+        return FleetTarget(name, process, Control(client, process.address), record.address, record).also { started += it }
     }
 
     private suspend fun standin(
