Make the timing tests of the stand-ins independent of the machine's load

Cause: some tests compared absolute times or waited a fixed time for a connection; a busy machine could fail them without a fault. Change: the slowdown of the weight store is a ratio within one run, batches overlap for longer, and the tests wait for the open watch that they need instead of 50 ms. Each still fails for the fault that it guards against.

--- a/skylarkstile-standin/src/test/kotlin/io/skylarkstile/standin/EngineStandinSpec.kt
+++ b/skylarkstile-standin/src/test/kotlin/io/skylarkstile/standin/EngineStandinSpec.kt
@@ -171,10 +171,10 @@
         test("batches concurrent requests in the same steps and serves the lower priority number first") {
             withEngine(EngineSettings(loadMs = 10, stepMs = 5.0, maxBatch = 4)) { at ->
                 order(at, "load")
-                (1..4).map { async { stream(at, 20, "r$it").text() } }.forEach { it.await() }
-                state(at, "batch", "steps").toInt() shouldBeLessThan 60
+                (1..4).map { async { stream(at, 60, "r$it").text() } }.forEach { it.await() }
+                state(at, "batch", "steps").toInt() shouldBeLessThan 180
                 control(at, """{"maxBatch":1}""")
-                val first = async { stream(at, 30).text() }
+                val first = async { stream(at, 100).text() }
                 delay(30)
                 val ends = mutableListOf<String>()
                 val late = async { stream(at, 3, "late", ""","priority":5""").text().also { ends += "late" } }
@@ -209,11 +209,11 @@
         }
 
         test("shows its state with the configured lag") {
-            withEngine(EngineSettings(loadMs = 10, stateLagMs = 400)) { at ->
-                delay(500)
+            withEngine(EngineSettings(loadMs = 10, stateLagMs = 800)) { at ->
+                delay(900)
                 order(at, "load")
                 json(at, "GET", "/v1/state").second.toString().contains(HANDLE) shouldBe false
-                eventually(2.seconds) { json(at, "GET", "/v1/state").second.toString() shouldContain HANDLE }
+                eventually(4.seconds) { json(at, "GET", "/v1/state").second.toString() shouldContain HANDLE }
             }
         }
     })
--- a/skylarkstile-standin/src/test/kotlin/io/skylarkstile/standin/ObjectsStandinSpec.kt
+++ b/skylarkstile-standin/src/test/kotlin/io/skylarkstile/standin/ObjectsStandinSpec.kt
@@ -6,6 +6,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
+import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
@@ -17,6 +18,7 @@
 import io.skylarkstile.transport.platform.objectStore
 import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
+import kotlin.time.Duration.Companion.seconds
 
 class ObjectsStandinSpec :
     FunSpec({
@@ -56,8 +58,7 @@
         test("ends a waiting watch at a change of a watched kind, removals included, and counts it as one call") {
             withObjects { store, standin ->
                 val watch = async { store.watch(listOf("a", "b"), 0, 5_000) }
-                delay(50)
-                state(standin.address, "openWatches") shouldBe "1"
+                eventually(2.seconds) { state(standin.address, "openWatches") shouldBe "1" }
                 store.put("other", "x", "{}", null)
                 store.put("b", "x", "{}", null)
                 watch
@@ -119,7 +120,7 @@
         test("ends waiting watches when an outage begins") {
             withObjects { store, standin ->
                 val watch = async { store.watch(listOf("a"), 0, 5_000) }
-                delay(50)
+                eventually(2.seconds) { state(standin.address, "openWatches") shouldBe "1" }
                 control(standin.address, """{"outage":"unavailable"}""")
                 watch.await().getError().shouldBeInstanceOf<StoreError.Unavailable>()
                 control(standin.address, """{"outage":"none"}""")
--- a/skylarkstile-standin/src/test/kotlin/io/skylarkstile/standin/ServiceStandinSpec.kt
+++ b/skylarkstile-standin/src/test/kotlin/io/skylarkstile/standin/ServiceStandinSpec.kt
@@ -5,7 +5,6 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.doubles.shouldBeGreaterThan
-import io.kotest.matchers.doubles.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.skylarkstile.standin.service.serviceStandin
@@ -56,8 +55,7 @@
                     (1..loads).map { async { call(store.address, "GET", "/weights/a$it").status } }.forEach { it.await() shouldBe 200 }
                     (System.nanoTime() - begin) / 1e9
                 }
-            seconds(2) shouldBeLessThan 0.39
-            seconds(4) shouldBeGreaterThan 0.39
+            (seconds(4) / seconds(2)) shouldBeGreaterThan 1.4
         }
 
         test("starts no more loads in a second than its rate") {
