--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/AnswerRelay.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/AnswerRelay.kt
@@ -34,7 +34,7 @@
         if (!belongs(answer)) return mismatch(answer)
         return when (answer.status) {
             in 200..299 -> if (isEventStream(answer)) relayEvents(answer) else relayWhole(answer)
-            404 -> refusedEnd(answer, "adapter-missing")
+            404 -> refusedEnd(answer, ADAPTER_MISSING)
             409, 412 -> refusedEnd(answer, "not-owner")
             429, 503 -> refusedEnd(answer, "target-busy", retryAfterMs(answer.headers) ?: BUSY_RETRY_MS)
             in 400..499 -> relayWhole(answer)
@@ -42,10 +42,19 @@
         }
     }
 
+    /** Errors may leave the names out: each completion has a connection of its own, so they cannot belong to another request. */
     private fun belongs(answer: HttpAnswer): Boolean {
-        val adapter = answer.headers[ADAPTER_HEADER]
-        val isAdapterRight = if (answer.status in 200..299) adapter == handle else adapter == null || adapter == handle
-        return answer.headers[REQUEST_ID_HEADER] == request.requestId && isAdapterRight
+        val isNameNeeded = answer.status in 200..299
+        val names = listOf(answer.headers[REQUEST_ID_HEADER] to request.requestId, answer.headers[ADAPTER_HEADER] to handle)
+        return names.all { (given, expected) -> if (given == null) !isNameNeeded else given == expected }
+    }
+
+    /** Engines derive the id of an answer and of each chunk from the request id, as in `cmpl-<request id>`. */
+    private fun isForeign(id: String): Boolean = id != request.requestId && !id.endsWith("-${request.requestId}")
+
+    private fun foreignEnd(id: String): DispatchEnd {
+        log.warn { "Dropped a part of an answer of target ${request.target}: it has the id $id and came to request ${request.requestId}" }
+        return unknownEnd("answer-mismatch", "a part of the answer has the id $id")
     }
 
     private suspend fun mismatch(answer: HttpAnswer): DispatchEnd {
@@ -65,7 +74,9 @@
 
     private suspend fun relayWhole(answer: HttpAnswer): DispatchEnd {
         val body = readWhole(answer, MAX_WHOLE_BYTES) ?: return unknownEnd("answer-incomplete", "the answer broke off or exceeds 16 MiB")
-        tokens = completionTokensOrNull(body) ?: 0
+        val json = parseObjectOrNull(body.decodeToString())
+        json?.let { idOrNull(it) }?.takeIf { isForeign(it) }?.let { return foreignEnd(it) }
+        tokens = json?.let { completionTokensOrNull(it) } ?: 0
         emit(DispatchEvent.Head(answer.status, contentTypeOf(answer)))
         for (from in body.indices step CHUNK_BYTES) {
             emit(DispatchEvent.Chunk(body.copyOfRange(from, minOf(from + CHUNK_BYTES, body.size))))
@@ -102,7 +113,9 @@
         event: ByteArray,
         passed: MutableList<ByteArray>,
     ): DispatchEnd? {
-        val meaning = meaningOf(event)
+        val read = readEvent(event)
+        read.idOrNull?.takeIf { isForeign(it) }?.let { return foreignEnd(it) }
+        val meaning = read.meaning
         if (meaning is SseMeaning.Failed) return unknownEnd("target-error", meaning.detail)
         if (meaning is SseMeaning.Token) tokens++
         passed.add(event)
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/AnswerSession.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/AnswerSession.kt
@@ -76,17 +76,24 @@
         event: ByteArray,
         passed: MutableList<ByteArray>,
     ): DispatchEnd? {
-        when (val meaning = meaningOf(event)) {
+        when (val meaning = readEvent(event).meaning) {
             is SseMeaning.Token -> return token(meaning.indexOrNull ?: position, event, passed)
             is SseMeaning.Failed -> return unknownEnd("target-error", meaning.detail)
             SseMeaning.Done -> isDone = true
-            SseMeaning.Closing -> Unit
+            is SseMeaning.Closing -> miscountOrNull(meaning)?.let { return it }
             SseMeaning.Other -> if (isResumed) return null
         }
         passed.add(event)
         return null
     }
 
+    private fun miscountOrNull(closing: SseMeaning.Closing): DispatchEnd? = closing.tokensOrNull?.takeIf { it != tokens }?.let {
+        unknownEnd(
+            "token-count",
+            "the target counts $it tokens, $tokens were passed on",
+        )
+    }
+
     /** Passes on the token numbered [index] if it is the next one; drops one that the caller has, and ends the attempt at a gap. */
     private fun token(
         index: Int,
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/DispatchEnds.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/DispatchEnds.kt
@@ -5,6 +5,9 @@
 
 import io.skylarkstile.schema.generated.DispatchEnd
 
+/** Reason of a refusal by an engine that does not hold the adapter. */
+internal const val ADAPTER_MISSING = "adapter-missing"
+
 internal val doneEnd = DispatchEnd(DispatchEnd.Outcome.Done)
 
 /** Ends a request of which nothing ran. */
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/EngineApi.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/EngineApi.kt
@@ -73,7 +73,7 @@
         handle: String,
         path: String,
         timeoutMs: Long,
-    ): OrderOutcome = order("/v1/load_lora_adapter", timeoutMs) {
+    ): OrderOutcome = order("/v1/load_lora_adapter", timeoutMs, refusals = 400..599) {
         put("lora_name", handle)
         put("lora_path", path)
     }
@@ -107,12 +107,13 @@
     private suspend fun order(
         path: String,
         timeoutMs: Long,
+        refusals: IntRange = 400..499,
         content: kotlinx.serialization.json.JsonObjectBuilder.() -> Unit,
     ): OrderOutcome {
         val headers = headersOf("content-type" to "application/json", FENCING_HEADER to "$epoch")
         val body = buildJsonObject(content).toString().encodeToByteArray()
         return http.call(address, HttpRequest("POST", path, headers = headers, body = body), timeoutMs, beforeSend = maySend).fold(
-            success = { outcomeOf(it) },
+            success = { outcomeOf(it, refusals) },
             failure = {
                 when (it) {
                     is HttpFailure.NotSent -> OrderOutcome.Refused(0, it.detail)
@@ -122,11 +123,14 @@
         )
     }
 
-    private suspend fun outcomeOf(answer: HttpAnswer): OrderOutcome {
+    private suspend fun outcomeOf(
+        answer: HttpAnswer,
+        refusals: IntRange,
+    ): OrderOutcome {
         val body = readWhole(answer)
         return when {
             answer.status in 200..299 && body != null -> OrderOutcome.Done(answer.headers[BOOT_HEADER])
-            answer.status in 400..499 || answer.status == 503 ->
+            answer.status in refusals || answer.status == 503 ->
                 OrderOutcome.Refused(
                     answer.status,
                     body?.decodeToString()?.take(200).orEmpty(),
@@ -168,7 +172,7 @@
     }
 }
 
-/** Reads an engine state: `boot_id`, `loaded` (objects with `name` and `running`, or a map from name to running) and, if given, `age_ms`. */
+/** Reads an engine state: `boot_id`, `loaded` (objects with `name` and `running`, or a map from name to running) and, if given, `age_ms`. Camel case is accepted. */
 internal fun parseState(
     status: Int,
     body: ByteArray,
@@ -177,7 +181,7 @@
     val json = parseObjectOrNull(body.decodeToString()) ?: return Err("the state is not a JSON object")
     val bootId = json.text("boot_id", "bootId") ?: return Err("the state has no boot_id")
     val loaded = loadedOf(json["loaded"] ?: json["handles"]) ?: return Err("the state has no list of loaded handles")
-    return Ok(EngineReport(bootId, loaded, (json["age_ms"] as? JsonPrimitive)?.longOrNull ?: ASSUMED_REPORT_AGE_MS))
+    return Ok(EngineReport(bootId, loaded, ((json["age_ms"] ?: json["ageMs"]) as? JsonPrimitive)?.longOrNull ?: ASSUMED_REPORT_AGE_MS))
 }
 
 private fun loadedOf(json: JsonElement?): Map<String, Int>? = when (json) {
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/ModelDispatcher.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/ModelDispatcher.kt
@@ -26,7 +26,7 @@
 /** All targets are tried again this many times, after a pause, when the reason passes quickly. */
 private const val ROUNDS = 3
 private const val ROUND_PAUSE_MS = 150L
-private val passingReasons = setOf("not-owner", "not-sent", "adapter-missing", "target-unreachable", "load-failed", "target-busy")
+private val passingReasons = setOf("not-owner", "not-sent", ADAPTER_MISSING, "target-unreachable", "load-failed", "target-busy")
 
 /** Runs model requests for the HTTP front. */
 internal interface ModelDispatcher : ModelRunner {
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/SseEvents.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/SseEvents.kt
@@ -60,33 +60,48 @@
         val detail: String,
     ) : SseMeaning
 
-    /** Carries the finish reason or the usage, after the last token. */
-    data object Closing : SseMeaning
+    /** Carries the finish reason or the usage, after the last token; [tokensOrNull] is the engine's count of generated tokens. */
+    data class Closing(
+        val tokensOrNull: Int?,
+    ) : SseMeaning
 
     /** Carries no token: a role, a comment or an empty event. */
     data object Other : SseMeaning
 }
 
-/** Reads the meaning of one whole [event]. A token event has a choice with a non-empty text or delta content. */
-internal fun meaningOf(event: ByteArray): SseMeaning {
+/** One event as far as it matters here; [idOrNull] is the id of the answer that it names. */
+internal class SseEvent(
+    val meaning: SseMeaning,
+    val idOrNull: String? = null,
+)
+
+/** Reads one whole [event]. A token event has a choice with a non-empty text or delta content. */
+internal fun readEvent(event: ByteArray): SseEvent {
     val lines = event.decodeToString().lines()
     val data = lines.filter { it.startsWith("data:") }.joinToString("\n") { it.substring("data:".length).trimStart() }
-    if (lines.any { it.startsWith("event:") && it.substring("event:".length).trim() == "error" }) return SseMeaning.Failed(data.take(200))
-    if (data == "[DONE]") return SseMeaning.Done
-    if (data.isEmpty()) return SseMeaning.Other
-    val json = parseObjectOrNull(data) ?: return SseMeaning.Other
-    if (json["error"].let { it != null && it is JsonObject }) return SseMeaning.Failed(data.take(200))
+    if (lines.any { it.startsWith("event:") && it.substring("event:".length).trim() == "error" }) return failedEvent(data)
+    if (data == "[DONE]") return SseEvent(SseMeaning.Done)
+    val json = parseObjectOrNull(data) ?: return SseEvent(SseMeaning.Other)
+    return if (json["error"] is JsonObject) failedEvent(data) else SseEvent(meaningOf(json), idOrNull(json))
+}
+
+private fun failedEvent(data: String): SseEvent = SseEvent(SseMeaning.Failed(data.take(200)))
+
+private fun meaningOf(json: JsonObject): SseMeaning {
     val choice = (json["choices"] as? JsonArray)?.firstOrNull() as? JsonObject
     return when {
         choice != null && textOf(choice).isNotEmpty() -> SseMeaning.Token((json["token_index"] as? JsonPrimitive)?.intOrNull)
-        json["usage"] is JsonObject || choice?.get("finish_reason").isText() -> SseMeaning.Closing
+        json["usage"] is JsonObject || choice?.get("finish_reason").isText() -> SseMeaning.Closing(completionTokensOrNull(json))
         else -> SseMeaning.Other
     }
 }
 
-/** Returns the generated tokens that a whole JSON answer reports in `usage.completion_tokens`. */
-internal fun completionTokensOrNull(body: ByteArray): Int? =
-    ((parseObjectOrNull(body.decodeToString())?.get("usage") as? JsonObject)?.get("completion_tokens") as? JsonPrimitive)?.intOrNull
+/** Returns the `id` of an answer or of one of its chunks. */
+internal fun idOrNull(json: JsonObject): String? = (json["id"] as? JsonPrimitive)?.content
+
+/** Returns the generated tokens that an answer reports in `usage.completion_tokens`. */
+internal fun completionTokensOrNull(json: JsonObject): Int? =
+    ((json["usage"] as? JsonObject)?.get("completion_tokens") as? JsonPrimitive)?.intOrNull
 
 internal fun parseObjectOrNull(text: String): JsonObject? = runCatching { recordJson.parseToJsonElement(text) }.getOrNull() as? JsonObject
 
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/TargetRun.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/TargetRun.kt
@@ -18,6 +18,9 @@
 import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 
+/** An engine that has just restarted refuses requests for the adapters it had; they wait here for the load instead of going elsewhere. */
+private const val MAX_ATTEMPTS = 3
+
 /** Runs [request] on [target]; the flow ends with [DispatchEvent.End] unless its collector is cancelled. */
 internal fun runOn(
     target: OwnedTarget,
@@ -25,8 +28,14 @@
     request: Dispatch,
     env: TargetEnv,
 ): Flow<DispatchEvent> = channelFlow {
-    val run = TargetRun(target, request, env) { send(it) }
-    send(DispatchEvent.End(run.run(control)))
+    val startedAt = env.now()
+    var attempts = 0
+    var end: DispatchEnd
+    do {
+        val remainingMs = request.deadlineMs - (env.now() - startedAt)
+        end = TargetRun(target, request.copy(deadlineMs = remainingMs), env) { send(it) }.run(control)
+    } while (end.reason == ADAPTER_MISSING && ++attempts < MAX_ATTEMPTS)
+    send(DispatchEvent.End(end))
 }.buffer(Channel.RENDEZVOUS)
 
 private class TargetRun(
@@ -38,6 +47,8 @@
     private val work = Work(request, env.now())
     private var tokens = 0
 
+    private var bootSeen: String? = null
+
     /** Whether the engine runs nothing of the request. */
     private var isComplete = true
 
@@ -72,6 +83,8 @@
                 }
             }
         answer.cancelAndJoin()
+        // Reported only now, because a restart gives up all running requests, and this one may have ended by itself.
+        target.bootSeen(bootSeen)
         end ?: unknownEnd("deadline", "target ${target.name} did not finish in time")
     }
 
@@ -79,7 +92,7 @@
         isComplete = false
         return target.engine.complete(request, start.handle, env.settings.idleTimeoutMs.toLong()).fold(
             success = { answer ->
-                target.bootSeen(answer.headers[BOOT_HEADER])
+                bootSeen = answer.headers[BOOT_HEADER]
                 val relay = AnswerRelay(request, start.handle, emit)
                 try {
                     relay.relay(answer).also { ended(it, start) }
@@ -96,7 +109,7 @@
         start: Decision.Start,
     ) {
         isComplete = end.outcome != DispatchEnd.Outcome.Unknown
-        if (end.reason == "adapter-missing") target.handleMissing(start.handle)
+        if (end.reason == ADAPTER_MISSING) target.handleMissing(start.handle)
     }
 
     private fun failedEnd(failure: HttpFailure): DispatchEnd = when (failure) {
