--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/LoadBudget.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/LoadBudget.kt
@@ -121,6 +121,8 @@
     private fun finished(number: Long) = lock.withLock { queue?.done(number) ?: Unit }
 
     private fun fallbackOrNull(): LoadPermit? = lock.withLock {
+        val since = ownerlessSince ?: now().also { ownerlessSince = it }
+        if (now() - since < OWNERLESS_MS) return null
         val members = cluster.members().map { it.instance }
         val refusal = fallback.refusalOrNull(cluster.self, members, now())
         lastRefusal = refusal?.let { "fallback: $it" }
--- a/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/target/Fakes.kt
+++ b/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/target/Fakes.kt
@@ -39,6 +39,7 @@
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.int
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedDeque
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -179,7 +180,7 @@
     @Volatile var loadMs = 5L
 
     /** Faults of the next answers: break after so many tokens, foreign request id, foreign chunk. */
-    val breakAfter = ArrayDeque<Int>()
+    val breakAfter = ConcurrentLinkedDeque<Int>()
 
     @Volatile var foreignHead = false
 
@@ -265,7 +266,7 @@
         streams: AtomicInteger,
     ): Flow<ByteArray> = flow {
         val startedAt = boot
-        val breakAt = breakAfter.removeFirstOrNull()
+        val breakAt = breakAfter.pollFirst()
         try {
             for (index in from until tokens) {
                 if (boot != startedAt || index - from == breakAt) throw HttpBodyException("broken")
