--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/snapshot/SnapshotSync.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/snapshot/SnapshotSync.kt
@@ -119,6 +119,8 @@
                 delay(COMPARE_MS)
             } else if (if (first) list() else watch()) {
                 pauseMs = FIRST_PAUSE_MS
+                // An empty platform is listed again at this interval until the first record is there.
+                if (keeper.state.known == 0L) delay(COMPARE_MS)
             } else {
                 delay(pauseMs + Random.nextLong(pauseMs))
                 pauseMs = (pauseMs * 2).coerceAtMost(LONGEST_PAUSE_MS)
@@ -129,7 +131,7 @@
     private suspend fun list(): Boolean {
         val answer = store.list(RecordKind.labels)
         answer.get()?.let { list -> advance { it.listed(list.records, list.revision) } }
-        return noted(answer) && keeper.state.known > 0L
+        return noted(answer)
     }
 
     private suspend fun watch(): Boolean {
