Admit requests with tokens borrowed from peers

Cause: the share account needs a host that answers requests and talks to peers.

Limits change through WorkspaceQuota.change, so that the time before a change counts at the previous rate. A reservation belongs to one account, so a refund into a workspace that was removed and written anew has no effect.

--- a/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/limit/ShareAccount.kt
+++ b/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/limit/ShareAccount.kt
@@ -16,6 +16,7 @@
 /** Records what one admission was charged. */
 class Reservation internal constructor(
     val charged: Amount,
+    internal val account: ShareAccount,
     internal val generation: Int,
     internal val requestsSince: Long,
     internal val tokensSince: Long,
@@ -121,7 +122,7 @@
         requests.take(own.requests)
         tokens.take(own.tokens)
         settleSpentLots()
-        return Reservation(cost, generation, requests.position, tokens.position)
+        return Reservation(cost, this, generation, requests.position, tokens.position)
     }
 
     /** Returns [unused] of [reservation] to the own buckets, as far as they would hold it had it never been charged. */
@@ -129,7 +130,7 @@
         reservation: Reservation,
         unused: Amount,
     ) {
-        if (reservation.generation != generation) return
+        if (reservation.account !== this || reservation.generation != generation) return
         val amount = unused.positive().atMost(reservation.charged)
         requests.refund(amount.requests, reservation.requestsSince)
         tokens.refund(amount.tokens, reservation.tokensSince)
--- a/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/limit/WorkspaceQuota.kt
+++ b/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/limit/WorkspaceQuota.kt
@@ -64,13 +64,25 @@
     private var limited: QuotaLimits? = null
     private val effects = mutableListOf<QuotaEffect>()
 
-    /** Fleet-wide limits; a change takes effect with the next call of any function. */
+    /** Fleet-wide limits. */
     var limits: QuotaLimits = limits
+        private set
 
     /** Returns whether the next [poll] is due soon rather than at leisure. */
     val isBusy: Boolean get() = waiting.isNotEmpty() || account.hasBorrowed()
     val waitingRequests: Int get() = waiting.size
 
+    /** Applies new [limits] at once; the time before counts at the previous rate. */
+    fun change(
+        now: Long,
+        environment: QuotaEnvironment,
+        limits: QuotaLimits,
+    ) {
+        update(now, environment)
+        this.limits = limits
+        update(now, environment)
+    }
+
     /** Adds a request that costs [cost]; its ticket is admitted, refused or waiting. */
     fun arrive(
         now: Long,
--- a/skylarkstile-core/src/test/kotlin/io/skylarkstile/core/limit/FleetSafetySpec.kt
+++ b/skylarkstile-core/src/test/kotlin/io/skylarkstile/core/limit/FleetSafetySpec.kt
@@ -94,7 +94,7 @@
                 val smaller = QuotaLimits(fleet.limits.perSecond * 0.3, fleet.limits.burst * 0.25)
                 fleet.at(RUN_MS / 2) {
                     fleet.limits = smaller
-                    fleet.nodes.forEach { it.quota.limits = smaller }
+                    fleet.nodes.forEach { it.quota.change(it.now, it.environment(), smaller) }
                 }
                 fleet.run(RUN_MS + 5_000)
                 val excess = largestExcess(fleet.admitted, smaller, from = RUN_MS / 2 + LOAN_MS)
--- /dev/null
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/limit/BorrowingLimiter.kt
@@ -0,0 +1,290 @@
+/*
+ * Admission of requests with tokens of this instance and of its peers. The decisions are those of [WorkspaceQuota]; this file runs them
+ * under the lock of the workspace's shard and carries out their effects: answers to waiting requests and messages to peers.
+ */
+package io.skylarkstile.entry.limit
+
+import com.github.michaelbull.result.fold
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.skylarkstile.core.cluster.ClusterView
+import io.skylarkstile.core.limit.Admission
+import io.skylarkstile.core.limit.AdmissionLimiter
+import io.skylarkstile.core.limit.Amount
+import io.skylarkstile.core.limit.BORROWED_MS
+import io.skylarkstile.core.limit.PlannedAsk
+import io.skylarkstile.core.limit.QuotaEffect
+import io.skylarkstile.core.limit.QuotaEnvironment
+import io.skylarkstile.core.limit.QuotaTicket
+import io.skylarkstile.core.limit.Reservation
+import io.skylarkstile.core.limit.Settlement
+import io.skylarkstile.core.limit.WorkspaceQuota
+import io.skylarkstile.core.snapshot.SnapshotSource
+import io.skylarkstile.schema.generated.QuotaAsk
+import io.skylarkstile.schema.generated.QuotaGrant
+import io.skylarkstile.schema.generated.QuotaSettings
+import io.skylarkstile.schema.generated.QuotaSettle
+import io.skylarkstile.transport.peer.MessageKinds
+import io.skylarkstile.transport.peer.PeerNetwork
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicBoolean
+
+private val log = KotlinLogging.logger {}
+
+/** An [AdmissionLimiter] that can be reported on. */
+interface ReportingLimiter :
+    AdmissionLimiter,
+    QuotaReport
+
+/**
+ * Creates the limiter of an entry instance and starts its timers and message handlers in [scope]. [clock] is monotonic milliseconds,
+ * the same clock that [cluster] is asked with.
+ */
+fun borrowingLimiter(
+    settings: QuotaSettings,
+    cluster: ClusterView,
+    snapshots: SnapshotSource,
+    peers: PeerNetwork,
+    scope: CoroutineScope,
+    clock: () -> Long,
+): ReportingLimiter = BorrowingLimiter(settings, cluster, snapshots, peers, scope, clock).apply { start() }
+
+internal class BorrowingLimiter(
+    settings: QuotaSettings,
+    cluster: ClusterView,
+    private val snapshots: SnapshotSource,
+    private val peers: PeerNetwork,
+    private val scope: CoroutineScope,
+    private val clock: () -> Long,
+) : ReportingLimiter {
+    private val waitMs = settings.borrowWaitMs.toLong()
+    private val shards = QuotaShards(waitMs, clock)
+    private val environments = QuotaEnvironments(cluster, peers)
+    private val waiting = ConcurrentHashMap<QuotaTicket, CompletableDeferred<Admission>>()
+    private val counters = ConcurrentHashMap<String, QuotaCounter>()
+
+    fun start() {
+        snapshots.onChange { applySnapshot() }
+        applySnapshot()
+        peers.answer(MessageKinds.quotaAsk, MessageKinds.quotaGrant) { from, ask -> lend(from, ask) }
+        peers.receive(MessageKinds.quotaSettle) { from, settle -> settled(from, settle) }
+        scope.launch { tick() }
+    }
+
+    override suspend fun admit(
+        workspace: String,
+        tokens: Int,
+    ): Admission {
+        val answer = CompletableDeferred<Admission>()
+        var ticket: QuotaTicket? = null
+        decide(workspace) { quota, now, environment ->
+            val (arrived, effects) = quota.arrive(now, environment, Amount(1.0, tokens.toDouble()))
+            waiting[arrived] = answer
+            ticket = arrived
+            effects
+        }
+        val arrived = ticket ?: return refuse(workspace, "unknown-workspace")
+        return awaitAnswer(workspace, arrived, answer)
+    }
+
+    override fun counts(): Map<String, QuotaCounts> = counters.mapValues { it.value.counts() }
+
+    override fun dump(): List<QuotaState> =
+        shards.workspaces.sorted().mapNotNull { name -> shards.withQuota(name) { quota, _ -> state(name, quota) } }
+
+    private suspend fun awaitAnswer(
+        workspace: String,
+        ticket: QuotaTicket,
+        answer: CompletableDeferred<Admission>,
+    ): Admission {
+        var delivered = false
+        try {
+            while (withTimeoutOrNull(maxOf(1, ticket.deadline - clock())) { answer.join() } == null) {
+                val late = clock() >= ticket.deadline
+                poll(workspace)
+                // Only a workspace that was removed meanwhile leaves a late request undecided.
+                if (late) answer.complete(Admission.Refused("unknown-workspace", 0))
+            }
+            return answer.await().also { delivered = true }
+        } finally {
+            // The caller was cancelled: its place in the queue or its charge is given up.
+            if (!delivered) abandon(workspace, ticket, answer)
+        }
+    }
+
+    @OptIn(ExperimentalCoroutinesApi::class)
+    private fun abandon(
+        workspace: String,
+        ticket: QuotaTicket,
+        answer: CompletableDeferred<Admission>,
+    ) {
+        waiting.remove(ticket)
+        shards.withQuota(workspace) { quota, _ -> quota.abandon(ticket) }
+        answer.cancel()
+        if (!answer.isCancelled) (answer.getCompleted() as? Admission.Admitted)?.cancel()
+    }
+
+    private fun poll(workspace: String) = decide(workspace) { quota, now, environment -> quota.poll(now, environment) }
+
+    /** Runs [decision] under the lock of [workspace] and carries out its effects outside of the lock, or returns `null` without a quota. */
+    private inline fun decide(
+        workspace: String,
+        crossinline decision: (WorkspaceQuota, Long, QuotaEnvironment) -> List<QuotaEffect>,
+    ): Unit? {
+        val effects = shards.withQuota(workspace) { quota, now -> decision(quota, now, environments.at(now)) } ?: return null
+        effects.forEach { perform(workspace, it) }
+        return Unit
+    }
+
+    private fun perform(
+        workspace: String,
+        effect: QuotaEffect,
+    ) {
+        when (effect) {
+            is QuotaEffect.Admit -> admitted(workspace, effect)
+            is QuotaEffect.Refuse -> refused(workspace, effect)
+            is QuotaEffect.Ask -> ask(workspace, effect.ask)
+            is QuotaEffect.Settle -> settle(workspace, effect.settlement)
+        }
+    }
+
+    private fun admitted(
+        workspace: String,
+        effect: QuotaEffect.Admit,
+    ) {
+        val admission = QuotaAdmission(workspace, effect.reservation)
+        val answer = waiting.remove(effect.ticket)
+        if (answer?.complete(admission) == true) counter(workspace).admitted() else admission.cancel()
+    }
+
+    private fun refused(
+        workspace: String,
+        effect: QuotaEffect.Refuse,
+    ) {
+        counter(workspace).refused(effect.reason)
+        waiting.remove(effect.ticket)?.complete(Admission.Refused(effect.reason, effect.retryAfterMs))
+    }
+
+    private fun refuse(
+        workspace: String,
+        reason: String,
+    ): Admission.Refused {
+        log.debug { "refused a request of workspace $workspace: $reason" }
+        return Admission.Refused(reason, 0)
+    }
+
+    private fun ask(
+        workspace: String,
+        ask: PlannedAsk,
+    ) {
+        counter(workspace).asked()
+        scope.launch {
+            val message = QuotaAsk(ask.ask, workspace, ask.amount.requests, ask.amount.tokens)
+            peers.call(ask.peer, MessageKinds.quotaAsk, message, MessageKinds.quotaGrant, BORROWED_MS).fold(
+                success = { granted(workspace, ask, it) },
+                failure = { shards.withQuota(workspace) { quota, now -> quota.askFailed(now, ask.ask) } },
+            )
+        }
+    }
+
+    private fun granted(
+        workspace: String,
+        ask: PlannedAsk,
+        grant: QuotaGrant,
+    ) {
+        val amount = Amount(grant.requests, grant.tokens)
+        counter(workspace).borrowed(amount)
+        decide(workspace) { quota, now, environment -> quota.granted(now, environment, ask.peer, ask.ask, amount) }
+    }
+
+    /** Sends a settlement; a lost one ends the loan a little later on the lender's clock. */
+    private fun settle(
+        workspace: String,
+        done: Settlement,
+    ) {
+        val message = QuotaSettle(done.ask, workspace, done.returned.requests, done.returned.tokens)
+        peers.send(done.lender, MessageKinds.quotaSettle, message)
+    }
+
+    private fun lend(
+        from: String,
+        ask: QuotaAsk,
+    ): QuotaGrant {
+        val wanted = Amount(ask.requests, ask.tokens).positive()
+        val given =
+            shards.withQuota(ask.workspace) { quota, now -> quota.lend(now, environments.at(now), from, ask.ask, wanted) } ?: Amount.NONE
+        if (!given.isNothing()) counter(ask.workspace).lent(given)
+        return QuotaGrant(ask.ask, given.requests, given.tokens)
+    }
+
+    private fun settled(
+        from: String,
+        message: QuotaSettle,
+    ) {
+        val returned = Amount(message.requestsReturned, message.tokensReturned).positive()
+        decide(message.workspace) { quota, now, environment -> quota.settled(now, environment, from, message.ask, returned) }
+    }
+
+    private fun applySnapshot() =
+        shards.apply(snapshots.current()) { quota, now, limits -> quota.change(now, environments.at(now), limits) }
+
+    /** Polls busy workspaces often and all others often enough that a lease is always seen before it has ended. */
+    private suspend fun tick() {
+        var lastFull = clock()
+        while (scope.isActive) {
+            delay(TICK_MS)
+            val full = clock() - lastFull >= FULL_TICK_MS
+            if (full) lastFull = clock()
+            shards.workspaces.forEach { name ->
+                if (full || shards.withQuota(name) { quota, _ -> quota.isBusy } == true) poll(name)
+            }
+        }
+    }
+
+    private fun state(
+        workspace: String,
+        quota: WorkspaceQuota,
+    ): QuotaState = with(quota.account) {
+        QuotaState(
+            workspace,
+            stock.requests,
+            stock.tokens,
+            lent.requests,
+            lent.tokens,
+            borrowed.requests,
+            borrowed.tokens,
+            capacity.requests,
+            capacity.tokens,
+            quota.waitingRequests,
+        )
+    }
+
+    private fun counter(workspace: String) = counters.computeIfAbsent(workspace) { QuotaCounter() }
+
+    private inner class QuotaAdmission(
+        private val workspace: String,
+        private val reservation: Reservation,
+    ) : Admission.Admitted {
+        private val over = AtomicBoolean()
+
+        override fun settle(generatedTokens: Int) = refund(Amount(0.0, reservation.charged.tokens - generatedTokens))
+
+        override fun cancel() = refund(reservation.charged)
+
+        private fun refund(unused: Amount) {
+            if (!over.compareAndSet(false, true)) return
+            decide(workspace) { quota, now, environment -> quota.refund(now, environment, reservation, unused) }
+        }
+    }
+
+    private companion object {
+        const val TICK_MS = 10L
+        const val FULL_TICK_MS = 250L
+    }
+}
