Run non-idempotent calls through the owners of their key ranges

After a lost answer it asks again with the same key until the deadline, and from then on passes on no not-run, since a later refusal says nothing about the earlier ask. Refusals because a range has another owner carry the reason not-owner and are tried elsewhere within 2 s.

--- a/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/ledger/LedgerCalls.kt
+++ b/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/ledger/LedgerCalls.kt
@@ -93,8 +93,8 @@
     }
 
     /** Answers `not-run` to every attempt in [dirty] whose intent is not confirmed. None of them was sent to the service. */
-    fun refuseWaiting(reason: String) = dirtyKeys.values.filter { it.state == KeyState.WAITING }.forEach { key ->
-        key.end(KeyState.NOT_RUN, LedgerReply.NotRun("ledger-unavailable", reason), record = false)
+    fun refuseWaiting(refusal: LedgerReply.NotRun) = dirtyKeys.values.filter { it.state == KeyState.WAITING }.forEach { key ->
+        key.end(KeyState.NOT_RUN, refusal, record = false)
         dirtyKeys.remove(key.key)
     }
 
@@ -107,8 +107,8 @@
 
     fun refuse(
         attempt: Long,
-        reason: String,
-    ) = answer(attempt, LedgerReply.NotRun("ledger-unavailable", reason))
+        refusal: LedgerReply.NotRun,
+    ) = answer(attempt, refusal)
 
     private fun begin(
         key: KnownKey,
--- a/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/ledger/LedgerMessages.kt
+++ b/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/ledger/LedgerMessages.kt
@@ -109,6 +109,11 @@
     data class Unknown(
         val detail: String,
     ) : LedgerReply
+
+    companion object {
+        /** Reason of a refusal because the range has or gets another owner, which may be asked at once. */
+        const val NOT_OWNER = "not-owner"
+    }
 }
 
 /** Something that the caller of [LedgerRange] has to carry out. */
--- a/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/ledger/LedgerRange.kt
+++ b/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/ledger/LedgerRange.kt
@@ -83,6 +83,9 @@
 
     val isFenced: Boolean get() = step == Step.Fenced
     val isServing: Boolean get() = step == Step.Serve
+
+    /** Returns whether [nextOp] has or will soon have something to do without a further call. */
+    val hasWork: Boolean get() = step != Step.Serve || calls.dirty.isNotEmpty() || stale || deletions.isNotEmpty()
     val keys: Int get() = calls.size
     val waiting: Int get() = calls.waiting + early.size
 
@@ -94,7 +97,7 @@
         bodyHash: String,
     ): List<LedgerEffect> {
         when {
-            isFenced -> calls.refuse(attempt, "the range has another owner")
+            isFenced -> calls.refuse(attempt, notOwner("the range has another owner"))
             buffer.number == 0L -> early[attempt] = key to bodyHash
             else -> calls.call(wall, attempt, key, bodyHash)
         }
@@ -312,7 +315,7 @@
     ) {
         write = null
         calls.requeue(written?.batch.orEmpty())
-        calls.refuseWaiting(reason)
+        calls.refuseWaiting(unavailable(reason))
         notBefore = now + limits.commitIntervalMs
     }
 
@@ -349,18 +352,18 @@
     }
 
     private fun postpone(now: Long) {
-        early.keys.forEach { calls.refuse(it, "the platform does not answer") }
+        early.keys.forEach { calls.refuse(it, unavailable("the platform does not answer")) }
         early.clear()
         notBefore = now + limits.commitIntervalMs
     }
 
     private fun fence(reason: String) {
         step = Step.Fenced
-        early.keys.forEach { calls.refuse(it, reason) }
+        early.keys.forEach { calls.refuse(it, notOwner(reason)) }
         early.clear()
         calls.requeue(write?.batch.orEmpty())
         write = null
-        calls.refuseWaiting(reason)
+        calls.refuseWaiting(notOwner(reason))
     }
 
     /** Moves the first segment past those whose keys are all older than the retention. */
@@ -376,5 +379,9 @@
 
     private fun isOwn(segment: LedgerSegment) = segment.writeId.startsWith(writeIdPrefix)
 
+    private fun notOwner(detail: String) = LedgerReply.NotRun(LedgerReply.NOT_OWNER, detail)
+
+    private fun unavailable(detail: String) = LedgerReply.NotRun("ledger-unavailable", detail)
+
     private fun newWriteId() = "$writeIdPrefix${writes++}"
 }
--- /dev/null
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/ledger/CallLedger.kt
@@ -0,0 +1,123 @@
+/*
+ * The way of a non-idempotent call to the owner of its key range.
+ */
+package io.skylarkstile.entry.ledger
+
+import com.github.michaelbull.result.fold
+import io.skylarkstile.core.cluster.ClusterView
+import io.skylarkstile.core.cluster.Ownership
+import io.skylarkstile.core.cluster.ledgerResource
+import io.skylarkstile.core.ledger.LedgerReply
+import io.skylarkstile.schema.generated.LedgerAnswer
+import io.skylarkstile.schema.generated.LedgerCall
+import io.skylarkstile.transport.peer.MessageKinds
+import io.skylarkstile.transport.peer.PeerError
+import io.skylarkstile.transport.peer.PeerNetwork
+import io.skylarkstile.transport.platform.ObjectStore
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+
+/** The ledger of an entry instance. [owner] is to be given to the membership as a resource holder. */
+class LedgerPart internal constructor(
+    val owner: LedgerOwner,
+    val calls: CallLedger,
+)
+
+/**
+ * Creates the ledger and registers its message handler; background work runs in [scope]. [clock] is monotonic milliseconds, [wall] the
+ * time of day in milliseconds.
+ */
+fun ledgerPart(
+    cluster: ClusterView,
+    network: PeerNetwork,
+    store: ObjectStore,
+    caller: ServiceCaller,
+    settings: LedgerPartSettings,
+    scope: CoroutineScope,
+    clock: () -> Long,
+    wall: () -> Long = System::currentTimeMillis,
+): LedgerPart {
+    val owner = LedgerOwner(LedgerEnv(cluster, store, caller, settings, clock, wall), scope)
+    network.answer(MessageKinds.ledgerCall, MessageKinds.ledgerAnswer) { _, call -> owner.call(call, call.ledgerKey()) }
+    return LedgerPart(owner, CallLedger(cluster, network, owner, settings.ledger.ranges, clock))
+}
+
+/** Runs non-idempotent calls at most once by their key, on whatever instance owns its range. */
+class CallLedger internal constructor(
+    private val cluster: ClusterView,
+    private val network: PeerNetwork,
+    private val owner: LedgerOwner,
+    private val ranges: Int,
+    private val clock: () -> Long,
+) {
+    /** Runs [call] or returns the outcome of an earlier one with its key, within [LedgerCall.deadlineMs]. */
+    suspend fun call(call: LedgerCall): LedgerAnswer = Asking(call).run()
+
+    /** One call on its way; it may ask several owners in turn. */
+    private inner class Asking(
+        private val call: LedgerCall,
+    ) {
+        private val key = call.ledgerKey()
+        private val started = clock()
+        private val until = started + call.deadlineMs
+
+        /**
+         * An earlier ask was sent and has no answer: it may still run or have run. From then on a `not-run` answer says nothing about the
+         * earlier ask, so only `done` and `unknown` are passed on.
+         */
+        private var uncertain = false
+
+        suspend fun run(): LedgerAnswer {
+            while (true) {
+                val answer = askOnce()
+                if (answer != null && isFinal(answer)) return answer
+                if (clock() + RETRY_MS >= giveUpAt()) return last(answer)
+                delay(RETRY_MS)
+            }
+        }
+
+        private suspend fun askOnce(): LedgerAnswer? = when (val place = cluster.ownership(ledgerResource(key.range(ranges)), clock())) {
+            is Ownership.Held -> owner.call(remaining(), key)
+            is Ownership.Elsewhere -> forward(place.instance)
+            Ownership.Pending -> notRun(LedgerReply.NOT_OWNER, "the key range of the call is moving to another owner")
+            Ownership.Nobody -> notRun(LedgerReply.NOT_OWNER, "the key range of the call has no owner")
+        }
+
+        private suspend fun forward(instance: String): LedgerAnswer? {
+            val timeout = maxOf(1, until - clock())
+            return network.call(instance, MessageKinds.ledgerCall, remaining(), MessageKinds.ledgerAnswer, timeout).fold(
+                success = { it },
+                failure = { failed(instance, it) },
+            )
+        }
+
+        private fun failed(
+            instance: String,
+            error: PeerError,
+        ): LedgerAnswer? {
+            if (error is PeerError.NotSent) return notRun("owner-unreachable", "the owner '$instance' of the key range cannot be reached")
+            uncertain = true
+            return null
+        }
+
+        private fun isFinal(answer: LedgerAnswer): Boolean {
+            if (answer.outcome != LedgerAnswer.Outcome.NotRun) return true
+            return !uncertain && answer.reason != LedgerReply.NOT_OWNER
+        }
+
+        private fun last(answer: LedgerAnswer?): LedgerAnswer =
+            if (uncertain || answer == null) unknown("the owner of the key range did not answer") else answer
+
+        /** A range without an owner is waited for only shortly; a call that may have run is followed up to its deadline. */
+        private fun giveUpAt() = if (uncertain) until else minOf(until, started + NO_OWNER_MS)
+
+        /** The owner gets a little less time, so that its answer arrives before the deadline here. */
+        private fun remaining() = call.copy(deadlineMs = maxOf(1, until - clock() - ANSWER_MARGIN_MS))
+    }
+
+    private companion object {
+        const val RETRY_MS = 100L
+        const val NO_OWNER_MS = 2_000L
+        const val ANSWER_MARGIN_MS = 50L
+    }
+}
--- /dev/null
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/ledger/LedgerOwner.kt
@@ -0,0 +1,59 @@
+/*
+ * The ranges that this instance owns. The membership tells which; each has its own host, so ranges never wait for each other.
+ */
+package io.skylarkstile.entry.ledger
+
+import io.skylarkstile.core.cluster.Resource
+import io.skylarkstile.core.cluster.ResourceHolder
+import io.skylarkstile.core.cluster.ledgerResource
+import io.skylarkstile.core.ledger.LedgerReply
+import io.skylarkstile.schema.generated.LedgerAnswer
+import io.skylarkstile.schema.generated.LedgerCall
+import kotlinx.coroutines.CoroutineScope
+import java.util.concurrent.ConcurrentHashMap
+
+/** Records and makes calls of owned ranges. */
+class LedgerOwner internal constructor(
+    private val env: LedgerEnv,
+    private val scope: CoroutineScope,
+) : ResourceHolder {
+    private val hosts = ConcurrentHashMap<Int, RangeHost>()
+
+    override fun resources(): List<Resource> = (0 until env.ranges).map { ledgerResource(it) }
+
+    override fun acquired(
+        resource: Resource,
+        epoch: Long,
+    ) {
+        val range = rangeOrNull(resource) ?: return
+        hosts.put(range, RangeHost(range, epoch, env, scope))?.release()
+    }
+
+    /**
+     * Stops starting calls of the range. Calls that run go on, and answer their callers; the new owner answers `unknown` to repeats of
+     * them, so it need not wait and nothing is reported as still in use.
+     */
+    override fun released(resource: Resource): Map<String, Int> {
+        rangeOrNull(resource)?.let { hosts.remove(it)?.release() }
+        return emptyMap()
+    }
+
+    /** Returns the state of each owned range. */
+    fun dump(): List<LedgerRangeState> = hosts.values.map { it.state() }.sortedBy { it.range }
+
+    internal suspend fun call(
+        call: LedgerCall,
+        key: LedgerKey,
+    ): LedgerAnswer = hosts[key.range(env.ranges)]?.call(call, key)
+        ?: notRun(LedgerReply.NOT_OWNER, "instance ${env.self} does not own the key range of the call")
+
+    private fun rangeOrNull(resource: Resource): Int? = resource.key
+        .removePrefix(PREFIX)
+        .takeIf { it != resource.key }
+        ?.toIntOrNull()
+        ?.takeIf { it in 0 until env.ranges }
+
+    private companion object {
+        const val PREFIX = "ledger/"
+    }
+}
--- /dev/null
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/ledger/LedgerStore.kt
@@ -0,0 +1,94 @@
+/*
+ * The objects of one key range on the platform.
+ */
+package io.skylarkstile.entry.ledger
+
+import com.github.michaelbull.result.fold
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.skylarkstile.core.ledger.LedgerOp
+import io.skylarkstile.core.ledger.LedgerOpResult
+import io.skylarkstile.schema.generated.LedgerHead
+import io.skylarkstile.schema.generated.LedgerSegment
+import io.skylarkstile.schema.generated.StoredRecord
+import io.skylarkstile.schema.recordJson
+import io.skylarkstile.transport.platform.ObjectStore
+import io.skylarkstile.transport.platform.StoreError
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+
+private val log = KotlinLogging.logger {}
+
+/** Carries out [LedgerOp]s of [range]. */
+internal class LedgerStore(
+    private val store: ObjectStore,
+    private val range: Int,
+) {
+    suspend fun perform(op: LedgerOp): LedgerOpResult = when (op) {
+        LedgerOp.ReadHead -> read(HEAD, LedgerHead.serializer()) { value, version -> LedgerOpResult.Head(value, version) }
+        is LedgerOp.ReadSegment ->
+            read("${op.number}", LedgerSegment.serializer()) { value, version -> LedgerOpResult.Segment(value, version) }
+        is LedgerOp.WriteHead -> write(HEAD, recordJson.encodeToString(LedgerHead.serializer(), op.head), op.ifVersion)
+        is LedgerOp.WriteSegment ->
+            write("${op.number}", recordJson.encodeToString(LedgerSegment.serializer(), op.segment), op.ifVersion)
+        is LedgerOp.DeleteSegment ->
+            store
+                .delete(
+                    KIND,
+                    name("${op.number}"),
+                    null,
+                ).fold({ LedgerOpResult.Written(0) }, { LedgerOpResult.Failed })
+    }
+
+    private suspend fun <T> read(
+        suffix: String,
+        serializer: KSerializer<T>,
+        result: (T?, Long) -> LedgerOpResult,
+    ): LedgerOpResult = store.get(KIND, name(suffix)).fold(
+        success = { parsed(it, serializer, result) },
+        failure = { LedgerOpResult.Failed },
+    )
+
+    /** An unreadable object counts as a failed read: going on without its keys could run one of them twice. */
+    private fun <T> parsed(
+        record: StoredRecord?,
+        serializer: KSerializer<T>,
+        result: (T?, Long) -> LedgerOpResult,
+    ): LedgerOpResult {
+        val value = record?.value ?: return result(null, 0)
+        return try {
+            result(recordJson.decodeFromString(serializer, value), record.version)
+        } catch (e: SerializationException) {
+            log.error(e) { "object $KIND/${record.name} cannot be read as a ledger object" }
+            LedgerOpResult.Failed
+        }
+    }
+
+    private suspend fun write(
+        suffix: String,
+        value: String,
+        ifVersion: Long,
+    ): LedgerOpResult = store.put(KIND, name(suffix), value, ifVersion).fold(
+        success = { LedgerOpResult.Written(it.version) },
+        failure = { failed(suffix, it) },
+    )
+
+    private fun failed(
+        suffix: String,
+        error: StoreError,
+    ): LedgerOpResult = when (error) {
+        is StoreError.Conflict -> LedgerOpResult.Conflict
+        is StoreError.Unavailable -> if (error.mayHaveApplied) LedgerOpResult.Uncertain else LedgerOpResult.Failed
+        is StoreError.Rejected -> {
+            log.error { "object $KIND/${name(suffix)} was rejected: ${error.detail}" }
+            LedgerOpResult.Failed
+        }
+        else -> LedgerOpResult.Failed
+    }
+
+    private fun name(suffix: String) = "$range-$suffix"
+
+    private companion object {
+        const val KIND = "ledger"
+        const val HEAD = "head"
+    }
+}
--- /dev/null
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/ledger/RangeHost.kt
@@ -0,0 +1,200 @@
+/*
+ * One key range owned by this instance: the state machine under its lock, the loop that carries out its platform operations, and the
+ * calls that it starts.
+ */
+package io.skylarkstile.entry.ledger
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.skylarkstile.core.cluster.Ownership
+import io.skylarkstile.core.ledger.LedgerEffect
+import io.skylarkstile.core.ledger.LedgerOp
+import io.skylarkstile.core.ledger.LedgerOpResult
+import io.skylarkstile.core.ledger.LedgerRange
+import io.skylarkstile.core.ledger.RunResult
+import io.skylarkstile.schema.generated.LedgerAnswer
+import io.skylarkstile.schema.generated.LedgerCall
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import java.util.UUID
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+
+private val log = KotlinLogging.logger {}
+
+/** State of a range for dumps. */
+data class LedgerRangeState(
+    val range: Int,
+    val epoch: Long,
+    val serving: Boolean,
+    val fenced: Boolean,
+    val keys: Int,
+    val waiting: Int,
+)
+
+internal class RangeHost(
+    private val range: Int,
+    private val epoch: Long,
+    private val env: LedgerEnv,
+    private val scope: CoroutineScope,
+) {
+    private class Attempt(
+        val call: LedgerCall,
+        val key: LedgerKey,
+        val until: Long,
+    ) {
+        val answer = CompletableDeferred<LedgerAnswer>()
+    }
+
+    private val lock = ReentrantLock()
+    private val store = LedgerStore(env.store, range)
+    private val attempts = ConcurrentHashMap<Long, Attempt>()
+    private val numbers = AtomicLong()
+    private val wake = Channel<Unit>(Channel.CONFLATED)
+    private var ledger = newLedger()
+
+    @Volatile
+    private var released = false
+    private val job = scope.launch { drive() }
+
+    suspend fun call(
+        call: LedgerCall,
+        key: LedgerKey,
+    ): LedgerAnswer {
+        val number = numbers.incrementAndGet()
+        val attempt = Attempt(call, key, env.clock() + call.deadlineMs)
+        attempts[number] = attempt
+        try {
+            decide { it.call(env.wall(), number, key.key, key.bodyHash) }
+            return withTimeoutOrNull(call.deadlineMs) { attempt.answer.await() } ?: giveUp(number, attempt)
+        } finally {
+            // Reached with an unanswered attempt only when this call was cancelled; its place is then given up.
+            if (attempts.remove(number) != null && !attempt.answer.isCompleted) lock.withLock { ledger.giveUpOrNull(number, key.key) }
+        }
+    }
+
+    /** Stops starting calls; running ones go on and answer their callers. */
+    fun release() {
+        released = true
+        decide { it.release() }
+        job.cancel()
+    }
+
+    fun state(): LedgerRangeState =
+        lock.withLock { LedgerRangeState(range, epoch, ledger.isServing, ledger.isFenced, ledger.keys, ledger.waiting) }
+
+    private suspend fun giveUp(
+        number: Long,
+        attempt: Attempt,
+    ): LedgerAnswer {
+        val reply = lock.withLock { ledger.giveUpOrNull(number, attempt.key.key) }
+        // Without a reply the outcome was decided meanwhile and is about to arrive, unless a replaced state machine has forgotten it.
+        return reply?.toAnswer() ?: withTimeoutOrNull(ANSWER_MS) { attempt.answer.await() } ?: unknown("the range changed during the call")
+    }
+
+    private fun newLedger() = LedgerRange(env.self, epoch, "${env.self}-$epoch-${UUID.randomUUID()}-", env.limits)
+
+    private inline fun decide(decision: (LedgerRange) -> List<LedgerEffect>) {
+        val effects = lock.withLock { decision(ledger).map { it to ledger } }
+        wake.trySend(Unit)
+        effects.forEach { (effect, decided) -> perform(effect, decided) }
+    }
+
+    private fun perform(
+        effect: LedgerEffect,
+        decided: LedgerRange,
+    ) {
+        when (effect) {
+            is LedgerEffect.Answer -> attempts[effect.attempt]?.answer?.complete(effect.reply.toAnswer())
+            is LedgerEffect.Run -> scope.launch { run(effect, decided) }
+        }
+    }
+
+    private suspend fun run(
+        effect: LedgerEffect.Run,
+        decided: LedgerRange,
+    ) {
+        val attempt = attempts[effect.attempt]
+        val result =
+            if (attempt == null) {
+                RunResult.NotSent("the caller is gone")
+            } else {
+                runOnce(attempt)
+            }
+        val effects = lock.withLock { decided.ran(effect.key, result) }
+        wake.trySend(Unit)
+        effects.forEach { perform(it, decided) }
+    }
+
+    private suspend fun runOnce(attempt: Attempt): RunResult = try {
+        env.caller.run(attempt.call, maxOf(1, attempt.until - env.clock()), ::maySend)
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: Exception) {
+        // Whether a byte was sent is unknown, so the outcome is too.
+        log.error(e) { "the call ${attempt.call.requestId} of service '${attempt.call.service}' failed" }
+        RunResult.NoAnswer("the call failed: ${e.message}")
+    }
+
+    private fun maySend(): Boolean = !released && env.mayAct(range, epoch)
+
+    /** Carries out one platform operation after the other; a range that was fenced but is still held is opened anew. */
+    private suspend fun drive() {
+        var backoffMs = 0L
+        while (scope.isActive) {
+            if (lock.withLock { ledger.isFenced } && !reopen()) continue
+            val op = lock.withLock { ledger.nextOp(env.clock(), env.wall()) }
+            if (op == null) {
+                pause()
+                continue
+            }
+            val result = perform(op)
+            decide { it.completed(env.clock(), env.wall(), result) }
+            backoffMs = if (result == LedgerOpResult.Failed) (backoffMs * 2).coerceIn(MIN_BACKOFF_MS, MAX_BACKOFF_MS) else 0
+            delay(backoffMs)
+        }
+    }
+
+    private suspend fun perform(op: LedgerOp): LedgerOpResult = try {
+        store.perform(op)
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: Exception) {
+        log.error(e) { "an operation of ledger range $range failed" }
+        val isRead = op is LedgerOp.ReadHead || op is LedgerOp.ReadSegment
+        if (isRead) LedgerOpResult.Failed else LedgerOpResult.Uncertain
+    }
+
+    private suspend fun pause() {
+        val busy = lock.withLock { ledger.hasWork }
+        withTimeoutOrNull(if (busy) BUSY_PAUSE_MS else IDLE_PAUSE_MS) { wake.receive() }
+        if (busy) delay(1)
+    }
+
+    private suspend fun reopen(): Boolean {
+        delay(REOPEN_MS)
+        val held = (env.ownership(range) as? Ownership.Held)?.epoch == epoch
+        if (released || !held) return false
+        log.info { "ledger range $range is opened anew in epoch $epoch" }
+        lock.withLock { ledger = newLedger() }
+        return true
+    }
+
+    private companion object {
+        const val BUSY_PAUSE_MS = 10L
+        const val IDLE_PAUSE_MS = 1_000L
+        const val MIN_BACKOFF_MS = 50L
+
+        /** Bounds how long a call waits for its `not-run` while the platform is down. */
+        const val MAX_BACKOFF_MS = 400L
+        const val REOPEN_MS = 1_000L
+        const val ANSWER_MS = 1_000L
+    }
+}
