--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/EntryInstance.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/EntryInstance.kt
@@ -133,7 +133,7 @@
                 scope,
                 ::monotonicMs,
             )
-        for (resource in targets.owner.resources()) targets.owner.acquired(resource, 1)
+        targets.loadBudget.resources().forEach { targets.loadBudget.acquired(it, 1) }
         snapshots.onChange { for (resource in targets.owner.resources()) targets.owner.acquired(resource, 1) }
         val timeoutMs = settings.target.requestTimeoutMs.toLong()
         val models =
