--- a/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/load/LoadQueue.kt
+++ b/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/load/LoadQueue.kt
@@ -4,6 +4,8 @@
  */
 package io.skylarkstile.core.load
 
+import kotlinx.serialization.Serializable
+
 /** A wait of this many milliseconds counts as much as one more waiting request. */
 private const val AGE_PER_REQUEST_MS = 100.0
 
@@ -19,12 +21,14 @@
 )
 
 /** Names what a permit is for. */
+@Serializable
 data class LoadKey(
     val target: String,
     val adapter: String,
 )
 
 /** A permit for one load. */
+@Serializable
 data class Permit(
     val number: Long,
     val key: LoadKey,
@@ -38,6 +42,7 @@
 )
 
 /** State of the queue for dumps. */
+@Serializable
 data class LoadQueueDump(
     val tokens: Double,
     val permits: List<Permit>,
--- a/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/placement/AdapterSlots.kt
+++ b/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/placement/AdapterSlots.kt
@@ -5,6 +5,8 @@
  */
 package io.skylarkstile.core.placement
 
+import kotlinx.serialization.Serializable
+
 /** A removed handle is remembered this long so that a lagging report does not bring it back. */
 private const val REMOVED_MEMORY_MS = 60_000L
 
@@ -18,6 +20,7 @@
 )
 
 /** One handle in a state dump. */
+@Serializable
 data class SlotDump(
     val handle: String,
     val phase: SlotPhase,
--- a/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/placement/VictimChoice.kt
+++ b/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/placement/VictimChoice.kt
@@ -3,6 +3,7 @@
  */
 package io.skylarkstile.core.placement
 
+import kotlinx.serialization.Serializable
 import kotlin.math.exp
 
 /** An adapter needed again within its own load time with at least this probability is kept while another choice exists. */
@@ -17,6 +18,7 @@
 )
 
 /** Names the handle to unload, or null, with the reason. */
+@Serializable
 data class VictimChoice(
     val handleOrNull: String?,
     val reason: String,
--- a/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/queue/FairQueue.kt
+++ b/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/queue/FairQueue.kt
@@ -5,6 +5,8 @@
  */
 package io.skylarkstile.core.queue
 
+import kotlinx.serialization.Serializable
+
 private const val FIRST_SERVICE_MS = 500.0
 private const val AVERAGE_STEP = 0.05
 private const val IDLE_WORKSPACES = 256
@@ -35,6 +37,7 @@
 }
 
 /** State of the queue for dumps. */
+@Serializable
 data class FairQueueDump(
     val ready: Map<String, Int>,
     val parked: Map<String, Int>,
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/ledger/RangeHost.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/ledger/RangeHost.kt
@@ -21,6 +21,7 @@
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.Serializable
 import java.util.UUID
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
@@ -30,6 +31,7 @@
 private val log = KotlinLogging.logger {}
 
 /** State of a range for dumps. */
+@Serializable
 data class LedgerRangeState(
     val range: Int,
     val epoch: Long,
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/EntryInstance.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/EntryInstance.kt
@@ -8,8 +8,14 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.skylarkstile.config.key.checkKeyOrNull
 import io.skylarkstile.config.log.event
+import io.skylarkstile.core.snapshot.Snapshot
 import io.skylarkstile.entry.admin.Admin
 import io.skylarkstile.entry.admin.DumpPart
+import io.skylarkstile.entry.cluster.ClusterDump
+import io.skylarkstile.entry.cluster.ClusterListener
+import io.skylarkstile.entry.cluster.ClusterParts
+import io.skylarkstile.entry.cluster.ClusterService
+import io.skylarkstile.entry.cluster.clusterService
 import io.skylarkstile.entry.front.Front
 import io.skylarkstile.entry.front.FrontMetrics
 import io.skylarkstile.entry.front.KeyVerifier
@@ -19,24 +25,36 @@
 import io.skylarkstile.entry.front.RunningCalls
 import io.skylarkstile.entry.front.ServiceCallSettings
 import io.skylarkstile.entry.front.ServiceCalls
+import io.skylarkstile.entry.ledger.LedgerPartSettings
+import io.skylarkstile.entry.ledger.httpServiceCaller
+import io.skylarkstile.entry.ledger.ledgerPart
+import io.skylarkstile.entry.limit.borrowingLimiter
+import io.skylarkstile.entry.snapshot.SnapshotSurroundings
+import io.skylarkstile.entry.snapshot.SnapshotSync
+import io.skylarkstile.entry.snapshot.snapshotSync
 import io.skylarkstile.entry.target.TargetPartSettings
 import io.skylarkstile.entry.target.targetPart
 import io.skylarkstile.schema.generated.EntrySettings
-import io.skylarkstile.schema.generated.LedgerAnswer
 import io.skylarkstile.schema.generated.Member
 import io.skylarkstile.transport.http.HttpServer
 import io.skylarkstile.transport.http.HttpServerLimits
 import io.skylarkstile.transport.http.httpClient
 import io.skylarkstile.transport.http.httpServer
+import io.skylarkstile.transport.peer.PeerNode
+import io.skylarkstile.transport.peer.PeerOptions
+import io.skylarkstile.transport.peer.peerNetwork
 import io.skylarkstile.transport.platform.objectStore
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.async
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
+import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.encodeToJsonElement
+import java.util.concurrent.ConcurrentHashMap
 
 private val log = KotlinLogging.logger {}
 
@@ -46,38 +64,75 @@
 private const val NANOS_PER_MS = 1_000_000L
 
 /** Starts an instance; returns once it listens. */
-internal suspend fun startInstance(settings: EntrySettings): EntryInstance = EntryInstance(settings).also { it.start() }
+internal suspend fun startInstance(settings: EntrySettings): EntryInstance {
+    val incarnation = System.currentTimeMillis()
+    val options = PeerOptions(heartbeatMs = settings.cluster.heartbeatMs.toLong(), now = ::monotonicMs)
+    val network = peerNetwork(settings.instance.name, incarnation, settings.cluster.name, settings.instance.peerAddress, options)
+    return EntryInstance(settings, incarnation, network).also { it.start() }
+}
 
 internal class EntryInstance(
     private val settings: EntrySettings,
+    incarnation: Long,
+    private val network: PeerNode,
 ) {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val registry = PrometheusRegistry()
     private val http = httpClient(settings.target.connectTimeoutMs.toLong())
     private val store = objectStore(settings.platform.address, http, settings.platform.timeoutMs.toLong())
     private val running = RunningCalls()
-
-    @Volatile
-    private var draining = false
-    private val snapshots = PollingSnapshots(store)
-    private val network = NoPeers()
-    private val cluster = SoloCluster(member())
-    private val limiter = OpenLimiter()
+    private val peerRevisions = ConcurrentHashMap<String, Long>()
+    private val cluster: ClusterService =
+        clusterService(
+            settings.instance,
+            settings.cluster,
+            incarnation,
+            ClusterParts(network, store, { snapshots.current().revision }, ::monotonicMs),
+        )
+    private val snapshots: SnapshotSync =
+        snapshotSync(
+            SnapshotSurroundings(settings.instance.name, cluster::members) { peerRevisions },
+            store,
+            network,
+            settings.platform.watchMs.toLong(),
+        )
+    private val limiter = borrowingLimiter(settings.quota, cluster, snapshots, network, scope, ::monotonicMs)
+    private val targets =
+        targetPart(
+            cluster,
+            snapshots,
+            network,
+            http,
+            TargetPartSettings(settings.target, settings.load, sendMarginMs()),
+            scope,
+            ::monotonicMs,
+        )
     private val ledger =
-        LedgerRunner { LedgerAnswer(LedgerAnswer.Outcome.NotRun, reason = "no-ledger", detail = "the ledger is not there yet") }
+        ledgerPart(
+            cluster,
+            network,
+            store,
+            httpServiceCaller(http, snapshots, settings.instance.dataCentre, settings.target.idleTimeoutMs.toLong()),
+            LedgerPartSettings(settings.ledger, sendMarginMs()),
+            scope,
+            ::monotonicMs,
+        )
     private lateinit var front: HttpServer
     private lateinit var admin: HttpServer
 
+    @Volatile
+    private var draining = false
+
     val callerAddress: String get() = settings.instance.advertisedCallerAddress ?: settings.instance.callerAddress
 
     fun start() {
-        snapshots.onChange { s ->
-            val ended = running.endWithdrawn(s)
-            if (ended > 0) log.event(Level.INFO, "calls-ended", "count" to ended) { "ended running calls of withdrawn keys" }
-        }
-        scope.launch { snapshots.run() }
+        listOf(targets.owner, targets.loadBudget, ledger.owner).forEach(cluster::register)
+        cluster.listen(Reactions())
+        snapshots.onChange(::endWithdrawn)
         front = httpServer(settings.instance.callerAddress, frontLimits(), createFront())
         admin = httpServer(settings.instance.adminAddress, HttpServerLimits(maxConnections = ADMIN_CONNECTIONS), createAdmin())
+        snapshots.start(scope)
+        cluster.start()
         log.event(Level.INFO, "started", "instance" to settings.instance.name) { "listening on ${front.address}" }
     }
 
@@ -85,33 +140,68 @@
         while (notReadyOrNull() != null) delay(READY_POLL_MS)
     }
 
-    /** Leaves, finishes the running requests and stops. Returns whether all requests were finished in time. */
+    /**
+     * Moves ownership away, goes on serving until callers have dropped the address, finishes the running requests, leaves the roster and
+     * stops. Returns whether all requests were finished in time.
+     */
     suspend fun shutDown(): Boolean {
         draining = true
         front.beginClosing()
-        val whole = front.drain(settings.http.drainMs.toLong())
-        scope.cancel()
+        val drainMs = settings.http.drainMs.toLong()
+        val moved = scope.async { cluster.leave(drainMs) }
+        delay(
+            settings.http.addressTtlMs
+                .toLong()
+                .coerceAtMost(drainMs),
+        )
+        val served = front.drain(drainMs)
+        val whole = moved.await() && served
+        cluster.depart(DEPART_MS)
+        cluster.close()
+        network.close()
         admin.close()
         front.close()
+        scope.cancel()
         http.close()
         return whole
     }
 
-    private fun notReadyOrNull(): String? = when {
-        draining -> "the instance is shutting down"
-        snapshots.current().revision == 0L -> "no configuration has been read yet"
-        !cluster.isActive() -> "the instance is not an active member yet"
-        else -> null
+    private fun sendMarginMs() = settings.cluster.sendMarginMs.toLong()
+
+    private fun notReadyOrNull(): String? = if (draining) "the instance is shutting down" else cannotServeOrNull()
+
+    private fun cannotServeOrNull(): String? {
+        val own = cluster.members().firstOrNull { it.instance == settings.instance.name }
+        return when {
+            snapshots.current().revision == 0L -> "no configuration has been read yet"
+            own == null || own.state == Member.State.Joining -> "the instance is not an active member yet"
+            else -> null
+        }
     }
 
-    private fun member() = Member(
-        instance = settings.instance.name,
-        incarnation = System.currentTimeMillis(),
-        callerAddress = callerAddress,
-        peerAddress = settings.instance.advertisedPeerAddress ?: settings.instance.peerAddress,
-        dataCentre = settings.instance.dataCentre,
-        state = Member.State.Active,
-    )
+    private fun endWithdrawn(snapshot: Snapshot) {
+        val ended = running.endWithdrawn(snapshot)
+        if (ended > 0) log.event(Level.INFO, "calls-ended", "count" to ended) { "ended running calls of withdrawn keys" }
+    }
+
+    private inner class Reactions : ClusterListener {
+        override fun onLeaseGained() = log.event(Level.INFO, "lease-gained") { "the lease is valid" }
+
+        override fun onLeaseLapsed() = log.event(Level.WARN, "lease-lapsed") { "the lease is over; nothing is admitted" }
+
+        override fun onIsolated() {
+            val ended = running.endIsolated()
+            log.event(Level.WARN, "isolated", "count" to ended) { "no contact with the platform and peers; running calls end" }
+        }
+
+        override fun onNewerSnapshot(
+            peer: String,
+            revision: Long,
+        ) {
+            peerRevisions.merge(peer, revision, ::maxOf)
+            snapshots.peerAhead()
+        }
+    }
 
     private fun frontLimits() = HttpServerLimits(
         maxConnections = settings.http.maxConnections,
@@ -123,52 +213,40 @@
 
     private fun createFront(): Front {
         val metrics = FrontMetrics(registry)
-        val targets =
-            targetPart(
-                cluster,
-                snapshots,
-                network,
-                http,
-                TargetPartSettings(settings.target, settings.load, settings.cluster.sendMarginMs.toLong()),
-                scope,
-                ::monotonicMs,
-            )
-        targets.loadBudget.resources().forEach { targets.loadBudget.acquired(it, 1) }
-        snapshots.onChange { for (resource in targets.owner.resources()) targets.owner.acquired(resource, 1) }
         val timeoutMs = settings.target.requestTimeoutMs.toLong()
-        val models =
-            ModelCalls(
-                limiter,
-                targets.dispatcher,
-                running,
-                metrics,
-                ModelCallSettings(settings.quota.defaultMaxTokens, timeoutMs),
-                ::monotonicMs,
-            )
+        val callSettings = ModelCallSettings(settings.quota.defaultMaxTokens, timeoutMs)
+        val models = ModelCalls(limiter, targets.dispatcher, running, metrics, callSettings, ::monotonicMs)
         val serviceSettings = ServiceCallSettings(settings.instance.dataCentre, settings.target.idleTimeoutMs.toLong(), timeoutMs)
-        val services = ServiceCalls(http, limiter, ledger, metrics, serviceSettings, ::monotonicMs)
+        val services = ServiceCalls(http, limiter, LedgerRunner(ledger.calls::call), metrics, serviceSettings, ::monotonicMs)
         val verifier = KeyVerifier { s, key -> checkKeyOrNull(key, s.keys)?.id }
-        return Front(snapshots, verifier, cluster, targets.dispatcher, models, services, settings.http.addressTtlMs, ::notReadyOrNull)
+        return Front(snapshots, verifier, cluster, targets.dispatcher, models, services, settings.http.addressTtlMs, ::cannotServeOrNull)
     }
 
     private fun createAdmin() = Admin(
         registry,
         ::notReadyOrNull,
         listOf(
-            DumpPart("instance") {
-                JsonObject(
-                    mapOf(
-                        "name" to JsonPrimitive(settings.instance.name),
-                        "running" to JsonPrimitive(running.count),
-                    ),
-                )
-            },
-            DumpPart("snapshot") { JsonObject(mapOf("revision" to JsonPrimitive(snapshots.current().revision))) },
+            DumpPart("instance", ::instanceDump),
+            DumpPart("cluster") { Json.encodeToJsonElement(ClusterDump.serializer(), cluster.dump()) },
+            DumpPart("snapshot", snapshots::dump),
+            DumpPart("quota") { Json.encodeToJsonElement(limiter.dump()) },
+            DumpPart("targets") { Json.encodeToJsonElement(targets.dump()) },
+            DumpPart("ledger") { Json.encodeToJsonElement(ledger.owner.dump()) },
+        ),
+    )
+
+    private fun instanceDump() = JsonObject(
+        mapOf(
+            "name" to JsonPrimitive(settings.instance.name),
+            "dataCentre" to JsonPrimitive(settings.instance.dataCentre),
+            "notReady" to JsonPrimitive(notReadyOrNull()),
+            "runningCalls" to JsonPrimitive(running.count),
         ),
     )
 
     private companion object {
         const val READY_POLL_MS = 20L
         const val ADMIN_CONNECTIONS = 64
+        const val DEPART_MS = 2_000L
     }
 }
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/LoadBudget.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/LoadBudget.kt
@@ -19,6 +19,7 @@
 import io.skylarkstile.schema.generated.LoadGrant
 import io.skylarkstile.transport.peer.PeerNetwork
 import kotlinx.coroutines.delay
+import kotlinx.serialization.Serializable
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 
@@ -32,6 +33,7 @@
 private const val DENIED_PAUSE_MS = 50L
 
 /** State of the load budget for dumps. [queue] is null on an instance that does not own it. */
+@Serializable
 data class LoadBudgetDump(
     val queue: LoadQueueDump?,
     val lastRefusal: String?,
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/OwnedTargetTypes.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/OwnedTargetTypes.kt
@@ -6,11 +6,13 @@
 import io.skylarkstile.core.placement.SlotDump
 import io.skylarkstile.core.placement.VictimChoice
 import io.skylarkstile.core.queue.FairQueueDump
+import kotlinx.serialization.Serializable
 
 /** Tells what the owner can do with the target. */
 internal enum class TargetPhase { Starting, Ready, Unreachable, Released }
 
 /** State of one owned target for dumps. */
+@Serializable
 data class OwnedTargetDump(
     val target: String,
     val epoch: Long,
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/Router.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/Router.kt
@@ -15,6 +15,7 @@
 import io.skylarkstile.schema.generated.TargetRecord
 import io.skylarkstile.schema.generated.TargetState
 import io.skylarkstile.transport.peer.PeerNetwork
+import kotlinx.serialization.Serializable
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -36,6 +37,7 @@
 )
 
 /** What the router knows of one target, for dumps. */
+@Serializable
 data class RouterDump(
     val target: String,
     val state: TargetState?,
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/TargetPart.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/TargetPart.kt
@@ -14,6 +14,7 @@
 import io.skylarkstile.transport.peer.PeerNetwork
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
+import kotlinx.serialization.Serializable
 
 /** Settings that the target part uses; [sendMarginMs] is the least remaining lease for sending work or orders, in milliseconds. */
 data class TargetPartSettings(
@@ -23,6 +24,7 @@
 )
 
 /** Everything of the target part, for dumps. */
+@Serializable
 data class TargetPartDump(
     val owned: List<OwnedTargetDump>,
     val router: List<RouterDump>,
