--- a/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/cluster/ClusterView.kt
+++ b/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/cluster/ClusterView.kt
@@ -71,7 +71,7 @@
     /** Returns the resources that could be owned now, from the current records. */
     fun resources(): List<Resource>
 
-    /** Starts owning [resource]. Called after the previous owner has stopped. */
+    /** Starts owning [resource]. Called after the previous owner has stopped; requests of an earlier ownership may still run here. */
     fun acquired(
         resource: Resource,
         epoch: Long,
--- /dev/null
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/cluster/DrivenCluster.kt
@@ -0,0 +1,325 @@
+/*
+ * The running membership: heartbeats, calls that the core asks for, and events for listeners.
+ */
+package io.skylarkstile.entry.cluster
+
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.skylarkstile.core.cluster.ClusterAction
+import io.skylarkstile.core.cluster.ClusterCore
+import io.skylarkstile.core.cluster.ClusterTiming
+import io.skylarkstile.core.cluster.Ownership
+import io.skylarkstile.core.cluster.ReleaseOrder
+import io.skylarkstile.core.cluster.Resource
+import io.skylarkstile.core.cluster.ResourceHolder
+import io.skylarkstile.core.cluster.emptyRoster
+import io.skylarkstile.schema.generated.Member
+import io.skylarkstile.schema.generated.ReleaseReply
+import io.skylarkstile.schema.generated.Roster
+import io.skylarkstile.schema.generated.RosterReply
+import io.skylarkstile.transport.peer.MessageKinds
+import io.skylarkstile.transport.peer.SEED_PREFIX
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CopyOnWriteArrayList
+
+private val log = KotlinLogging.logger {}
+
+/** Steps of the core in one heartbeat interval. */
+private const val STEPS_PER_HEARTBEAT = 5
+
+/** Implements [ClusterService]. */
+internal class DrivenCluster(
+    me: Member,
+    private val timing: ClusterTiming,
+    private val seeds: List<String>,
+    private val parts: ClusterParts,
+) : ClusterService {
+    private val scope = CoroutineScope(SupervisorJob() + parts.dispatcher)
+    private val network = parts.network
+    private val core = GuardedCore(ClusterCore(me, timing))
+    private val calls = ClusterCalls(network, parts.store, timing.leaseMs / 3)
+    private val driver = OwnershipDriver(core, parts.snapshotRevision, parts.now)
+    private val watch = LeaseWatch(timing)
+    private val listeners = CopyOnWriteArrayList<ClusterListener>()
+    private val sendingReleases = ConcurrentHashMap.newKeySet<Long>()
+
+    /** Asks for a heartbeat before its time, so that others learn a new roster at once. */
+    private val hurry = Channel<Unit>(Channel.CONFLATED)
+
+    override val self: String = core.self
+
+    override fun register(holder: ResourceHolder) = driver.register(holder)
+
+    override fun listen(listener: ClusterListener) {
+        listeners += listener
+    }
+
+    override fun start() {
+        serve()
+        setPeers(emptyRoster)
+        scope.launch { stepForever() }
+        scope.launch { beatForever() }
+    }
+
+    private fun serve() {
+        network.answer(MessageKinds.heartbeat, MessageKinds.vouch) { from, heartbeat ->
+            if (heartbeat.snapshotRevision >
+                parts.snapshotRevision()
+            ) {
+                listeners.forEach { it.onNewerSnapshot(from, heartbeat.snapshotRevision) }
+            }
+            core.use { it.onHeartbeat(from, heartbeat, parts.snapshotRevision(), parts.now()) }
+        }
+        network.answer(MessageKinds.consentRequest, MessageKinds.consentReply) { _, request ->
+            core.use { it.onConsentRequest(request, parts.now()) }
+        }
+        network.answer(MessageKinds.rosterAsk, MessageKinds.rosterReply) { _, _ -> RosterReply(roster = core.use { it.roster }) }
+        network.answer(MessageKinds.release, MessageKinds.releaseReply) { from, release ->
+            core.use {
+                it.onRelease(from, release)
+                ReleaseReply(rosterRevision = it.roster.revision)
+            }
+        }
+    }
+
+    private suspend fun stepForever() {
+        while (true) {
+            try {
+                step()
+            } catch (e: RuntimeException) {
+                // A holder or listener that fails must not stop the lease.
+                log.error(e) { "a step of the membership failed" }
+            }
+            delay(timing.heartbeatMs / STEPS_PER_HEARTBEAT)
+        }
+    }
+
+    private fun step() {
+        val actions = core.use { it.tick(parts.now()) }
+        rejoinIfNeeded()
+        actions.forEach { action -> scope.launch { run(action) } }
+        tellListeners()
+        driver.step()
+        sendReleases()
+    }
+
+    private fun rejoinIfNeeded() {
+        if (!core.use { it.mustRejoin() }) return
+        val incarnation =
+            core.use { c ->
+                maxOf(
+                    parts.wallClock(),
+                    maxOf(
+                        c.me.incarnation,
+                        c.roster.members
+                            .find { it.instance == self }
+                            ?.incarnation ?: 0,
+                    ) + 1,
+                )
+            }
+        log.warn { "this instance was removed or paused beyond its lease; it joins again as incarnation $incarnation" }
+        driver.changing { _, _ -> core.use { it.rejoin(incarnation) } }
+        network.renew(incarnation)
+    }
+
+    private fun tellListeners() {
+        val now = parts.now()
+        val events = core.use { watch.events(it.hasLease(now), it.unconfirmedMs(now)) }
+        for (event in events) {
+            log.info { "lease: ${event.name.lowercase()}" }
+            listeners.forEach { tell(it, event) }
+        }
+    }
+
+    private fun tell(
+        listener: ClusterListener,
+        event: LeaseEvent,
+    ) = when (event) {
+        LeaseEvent.Gained -> listener.onLeaseGained()
+        LeaseEvent.Lapsed -> listener.onLeaseLapsed()
+        LeaseEvent.Isolated -> listener.onIsolated()
+    }
+
+    private suspend fun beatForever() {
+        while (true) {
+            core
+                .use { it.roster }
+                .members
+                .filter { it.instance != self }
+                .forEach { scope.launch { beat(it.instance) } }
+            withTimeoutOrNull(timing.heartbeatMs) { hurry.receive() }
+        }
+    }
+
+    private suspend fun beat(peer: String) {
+        val (heartbeat, sentAt) =
+            driver.steady { core.use { it.heartbeat(peer, parts.snapshotRevision(), calls.reachable) to parts.now() } }
+        network.call(peer, MessageKinds.heartbeat, heartbeat, MessageKinds.vouch, timing.leaseMs).onSuccess { vouch ->
+            core.use { it.onVouch(peer, vouch, sentAt, heartbeat.incarnation) }
+            if (vouch.snapshotRevision > parts.snapshotRevision()) listeners.forEach { it.onNewerSnapshot(peer, vouch.snapshotRevision) }
+        }
+    }
+
+    private fun sendReleases() =
+        core.use { it.releases() }.filter { sendingReleases.add(it.sequence) }.forEach { order -> scope.launch { send(order) } }
+
+    private suspend fun send(order: ReleaseOrder) {
+        try {
+            network
+                .call(order.to, MessageKinds.release, order.release, MessageKinds.releaseReply, timing.leaseMs / 3)
+                .onSuccess { core.use { c -> c.onReleaseAcknowledged(order) } }
+                .onFailure { delay(timing.heartbeatMs / STEPS_PER_HEARTBEAT) }
+        } finally {
+            sendingReleases.remove(order.sequence)
+        }
+    }
+
+    private suspend fun run(action: ClusterAction) {
+        when (action) {
+            is ClusterAction.ReadRoster -> readRoster(action.peer)
+            is ClusterAction.WriteRoster -> writeRoster(action)
+            is ClusterAction.ReadOwnLease -> readOwnLease()
+            is ClusterAction.WriteOwnLease -> writeOwnLease(action)
+            is ClusterAction.ReadLease -> readLease(action.member)
+            is ClusterAction.Fence -> fence(action)
+            is ClusterAction.AskConsent -> askConsent(action)
+        }
+    }
+
+    private suspend fun readRoster(reporter: String?) {
+        calls.readRoster().fold(
+            { adopt(it.value ?: emptyRoster, it.version) },
+            {
+                val peers = listOfNotNull(reporter) + network.connected()
+                calls.rosterOfPeersOrNull(peers.distinct(), rosterRevision())?.let { adopt(it, null) }
+                core.use { it.onRosterFailure() }
+            },
+        )
+    }
+
+    private fun adopt(
+        roster: Roster,
+        version: Long?,
+    ) = changeRoster { resources, snapshot -> core.use { it.adopt(roster, version, resources, snapshot, parts.now()) } }
+
+    private suspend fun writeRoster(action: ClusterAction.WriteRoster) {
+        val outcome = calls.writeRoster(action.roster, action.ifVersion)
+        changeRoster { resources, snapshot ->
+            core.use { it.onRosterWritten(outcome, action.roster, resources, snapshot, parts.now()) }
+        }
+    }
+
+    private fun changeRoster(change: (List<Resource>, Long) -> ClusterCore.Adoption) {
+        var changed = false
+        driver.changing { resources, snapshot -> change(resources, snapshot).also { changed = it.changed }.released }
+        if (!changed) return
+        val roster = core.use { it.roster }
+        log.info { "roster ${roster.revision}: ${roster.members.joinToString { "${it.instance} ${it.state.value}" }}" }
+        setPeers(roster)
+        listeners.forEach { it.onRoster(roster) }
+        hurry.trySend(Unit)
+    }
+
+    /** Dials all members; without a roster the seeds, whose names are not known yet. */
+    private fun setPeers(roster: Roster) {
+        roster.members.filter { it.instance != self }.forEach { network.requireIncarnation(it.instance, it.incarnation) }
+        network.setPeers(
+            if (roster.revision > 0) {
+                roster.members.associate { it.instance to it.peerAddress }
+            } else {
+                seeds.associateBy { SEED_PREFIX + it }
+            },
+        )
+    }
+
+    private suspend fun readOwnLease() =
+        calls.readLease(self).fold({ r -> core.use { it.onOwnLeaseRead(r.value, r.version) } }, { core.use { it.onOwnLeaseFailure() } })
+
+    private suspend fun writeOwnLease(action: ClusterAction.WriteOwnLease) {
+        val outcome = calls.writeLease(action.record, action.ifVersion)
+        core.use { it.onOwnLeaseWritten(outcome, action.record.incarnation) }
+    }
+
+    private suspend fun readLease(member: Member) = calls.readLease(member.instance).fold(
+        { r -> core.use { it.onLeaseRead(member, r.value, r.version, parts.now()) } },
+        { core.use { it.onLeaseFailure(member) } },
+    )
+
+    private suspend fun fence(action: ClusterAction.Fence) {
+        val outcome = calls.writeLease(action.record, action.ifVersion)
+        core.use { it.onFenced(action.member, outcome, parts.now()) }
+    }
+
+    private suspend fun askConsent(action: ClusterAction.AskConsent) {
+        network
+            .call(action.to, MessageKinds.consentRequest, action.request, MessageKinds.consentReply, timing.heartbeatMs)
+            .onSuccess { reply -> core.use { it.onConsent(action.to, action.member, action.request, reply, parts.now()) } }
+    }
+
+    override fun members(): List<Member> = core.use { it.roster }.members
+
+    override fun rosterRevision(): Long = core.use { it.roster }.revision
+
+    override fun isActive(): Boolean = core.use { it.isActive() }
+
+    override fun leaseRemaining(now: Long): Long =
+        (core.leaseUntil - now).takeIf { core.leaseUntil > now }?.coerceAtMost(timing.leaseMs) ?: 0
+
+    override fun ownership(
+        resource: Resource,
+        now: Long,
+    ): Ownership = core.use { it.ownership(resource) }
+
+    override fun foreignPins(resource: Resource): Map<String, Int> = core.use { it.foreignPins(resource) }
+
+    override fun platformReachable(): Boolean = calls.reachable
+
+    override suspend fun leave(timeoutMs: Long): Boolean {
+        core.use { it.leave() }
+        return waitFor(
+            timeoutMs,
+        ) { it.isLeaving() && it.heldResources().isEmpty() && it.stillPinned().isEmpty() && it.releases().isEmpty() }
+    }
+
+    override suspend fun depart(timeoutMs: Long): Boolean {
+        driver.changing { _, _ -> core.use { it.depart() } }
+        return waitFor(timeoutMs) { !it.isListed() }
+    }
+
+    private suspend fun waitFor(
+        timeoutMs: Long,
+        condition: (ClusterCore) -> Boolean,
+    ): Boolean = withTimeoutOrNull(timeoutMs) {
+        while (!core.use(condition)) delay(timing.heartbeatMs / STEPS_PER_HEARTBEAT)
+        true
+    } ?: false
+
+    override fun dump(): ClusterDump {
+        val now = parts.now()
+        return core.use { c ->
+            ClusterDump(
+                self = c.me,
+                roster = c.roster,
+                active = c.isActive(),
+                leaseRemainingMs = leaseRemaining(now),
+                unconfirmedMs = c.unconfirmedMs(now),
+                platformReachable = calls.reachable,
+                owned = c.heldResources().mapKeys { it.key.key },
+                stillPinned = c.stillPinned().map { it.key },
+                removals = c.removalDumps(),
+                links = network.dump(),
+            )
+        }
+    }
+
+    override fun close() = scope.cancel()
+}
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/EntryInstance.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/EntryInstance.kt
@@ -63,7 +63,8 @@
     private val network = NoPeers()
     private val cluster = SoloCluster(member())
     private val limiter = OpenLimiter()
-    private val ledger = LedgerRunner { LedgerAnswer(LedgerAnswer.Outcome.NotRun, reason = "no-ledger", detail = "the ledger is not there yet") }
+    private val ledger =
+        LedgerRunner { LedgerAnswer(LedgerAnswer.Outcome.NotRun, reason = "no-ledger", detail = "the ledger is not there yet") }
     private lateinit var front: HttpServer
     private lateinit var admin: HttpServer
 
@@ -96,32 +97,29 @@
         return whole
     }
 
-    private fun notReadyOrNull(): String? =
-        when {
-            draining -> "the instance is shutting down"
-            snapshots.current().revision == 0L -> "no configuration has been read yet"
-            !cluster.isActive() -> "the instance is not an active member yet"
-            else -> null
-        }
+    private fun notReadyOrNull(): String? = when {
+        draining -> "the instance is shutting down"
+        snapshots.current().revision == 0L -> "no configuration has been read yet"
+        !cluster.isActive() -> "the instance is not an active member yet"
+        else -> null
+    }
 
-    private fun member() =
-        Member(
-            instance = settings.instance.name,
-            incarnation = System.currentTimeMillis(),
-            callerAddress = callerAddress,
-            peerAddress = settings.instance.advertisedPeerAddress ?: settings.instance.peerAddress,
-            dataCentre = settings.instance.dataCentre,
-            state = Member.State.Active,
-        )
-
-    private fun frontLimits() =
-        HttpServerLimits(
-            maxConnections = settings.http.maxConnections,
-            maxHeaderBytes = settings.http.maxHeaderBytes,
-            maxBodyBytes = settings.http.maxBodyBytes,
-            readTimeoutMs = settings.http.readTimeoutMs.toLong(),
-            idleTimeoutMs = settings.http.idleTimeoutMs.toLong(),
-        )
+    private fun member() = Member(
+        instance = settings.instance.name,
+        incarnation = System.currentTimeMillis(),
+        callerAddress = callerAddress,
+        peerAddress = settings.instance.advertisedPeerAddress ?: settings.instance.peerAddress,
+        dataCentre = settings.instance.dataCentre,
+        state = Member.State.Active,
+    )
+
+    private fun frontLimits() = HttpServerLimits(
+        maxConnections = settings.http.maxConnections,
+        maxHeaderBytes = settings.http.maxHeaderBytes,
+        maxBodyBytes = settings.http.maxBodyBytes,
+        readTimeoutMs = settings.http.readTimeoutMs.toLong(),
+        idleTimeoutMs = settings.http.idleTimeoutMs.toLong(),
+    )
 
     private fun createFront(): Front {
         val metrics = FrontMetrics(registry)
@@ -139,22 +137,35 @@
         snapshots.onChange { for (resource in targets.owner.resources()) targets.owner.acquired(resource, 1) }
         val timeoutMs = settings.target.requestTimeoutMs.toLong()
         val models =
-            ModelCalls(limiter, targets.dispatcher, running, metrics, ModelCallSettings(settings.quota.defaultMaxTokens, timeoutMs), ::monotonicMs)
+            ModelCalls(
+                limiter,
+                targets.dispatcher,
+                running,
+                metrics,
+                ModelCallSettings(settings.quota.defaultMaxTokens, timeoutMs),
+                ::monotonicMs,
+            )
         val serviceSettings = ServiceCallSettings(settings.instance.dataCentre, settings.target.idleTimeoutMs.toLong(), timeoutMs)
         val services = ServiceCalls(http, limiter, ledger, metrics, serviceSettings, ::monotonicMs)
         val verifier = KeyVerifier { s, key -> checkKeyOrNull(key, s.keys)?.id }
         return Front(snapshots, verifier, cluster, targets.dispatcher, models, services, settings.http.addressTtlMs, ::notReadyOrNull)
     }
 
-    private fun createAdmin() =
-        Admin(
-            registry,
-            ::notReadyOrNull,
-            listOf(
-                DumpPart("instance") { JsonObject(mapOf("name" to JsonPrimitive(settings.instance.name), "running" to JsonPrimitive(running.count))) },
-                DumpPart("snapshot") { JsonObject(mapOf("revision" to JsonPrimitive(snapshots.current().revision))) },
-            ),
-        )
+    private fun createAdmin() = Admin(
+        registry,
+        ::notReadyOrNull,
+        listOf(
+            DumpPart("instance") {
+                JsonObject(
+                    mapOf(
+                        "name" to JsonPrimitive(settings.instance.name),
+                        "running" to JsonPrimitive(running.count),
+                    ),
+                )
+            },
+            DumpPart("snapshot") { JsonObject(mapOf("revision" to JsonPrimitive(snapshots.current().revision))) },
+        ),
+    )
 
     private companion object {
         const val READY_POLL_MS = 20L
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/SoloParts.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/SoloParts.kt
@@ -120,10 +120,9 @@
     override suspend fun admit(
         workspace: String,
         tokens: Int,
-    ): Admission =
-        object : Admission.Admitted {
-            override fun settle(generatedTokens: Int) = Unit
+    ): Admission = object : Admission.Admitted {
+        override fun settle(generatedTokens: Int) = Unit
 
-            override fun cancel() = Unit
-        }
+        override fun cancel() = Unit
+    }
 }
--- a/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/peer/MessageKinds.kt
+++ b/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/peer/MessageKinds.kt
@@ -25,6 +25,7 @@
 import io.skylarkstile.schema.generated.QuotaGrant
 import io.skylarkstile.schema.generated.QuotaSettle
 import io.skylarkstile.schema.generated.Release
+import io.skylarkstile.schema.generated.ReleaseReply
 import io.skylarkstile.schema.generated.RosterAsk
 import io.skylarkstile.schema.generated.RosterReply
 import io.skylarkstile.schema.generated.SnapshotPull
@@ -43,6 +44,7 @@
     val rosterAsk = MessageKind("RosterAsk", RosterAsk.serializer())
     val rosterReply = MessageKind("RosterReply", RosterReply.serializer())
     val release = MessageKind("Release", Release.serializer())
+    val releaseReply = MessageKind("ReleaseReply", ReleaseReply.serializer())
     val ownerAsk = MessageKind("OwnerAsk", OwnerAsk.serializer())
     val ownerReply = MessageKind("OwnerReply", OwnerReply.serializer())
     val snapshotPull = MessageKind("SnapshotPull", SnapshotPull.serializer())
@@ -65,7 +67,17 @@
 
     /** Names of the kinds that this release answers; a call of any other kind closes its link. */
     internal val calls: Set<String> =
-        setOf(heartbeat, consentRequest, rosterAsk, ownerAsk, snapshotPull, quotaAsk, loadAsk, ledgerCall).mapTo(HashSet()) { it.name }
+        setOf(
+            heartbeat,
+            consentRequest,
+            rosterAsk,
+            release,
+            ownerAsk,
+            snapshotPull,
+            quotaAsk,
+            loadAsk,
+            ledgerCall,
+        ).mapTo(HashSet()) { it.name }
 
     /**
      * Names of the kinds that pass waiting bulk frames in the queue of a link: they are small, and leases or waiting requests depend on
