Do not refuse a request that another thread has just decided

Cause: a waiting request whose deadline passed was answered unknown-workspace when another thread had decided it under the lock but not yet answered it.

Change: only a missing workspace, or 1 s without any decision (a workspace removed and written anew), leads to that answer.

Conclusion: the test stands unchanged.

--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/limit/BorrowingLimiter.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/limit/BorrowingLimiter.kt
@@ -106,10 +106,10 @@
         var delivered = false
         try {
             while (withTimeoutOrNull(maxOf(1, ticket.deadline - clock())) { answer.join() } == null) {
-                val late = clock() >= ticket.deadline
-                poll(workspace)
-                // Only a workspace that was removed meanwhile leaves a late request undecided.
-                if (late) answer.complete(Admission.Refused("unknown-workspace", 0))
+                val isKnown = poll(workspace) != null
+                // Another thread may have decided under the lock and not yet answered, so only a workspace that was removed, or removed
+                // and written anew, leaves a request without an answer.
+                if (!isKnown || clock() >= ticket.deadline + UNDECIDED_MS) answer.complete(Admission.Refused("unknown-workspace", 0))
             }
             return answer.await().also { delivered = true }
         } finally {
@@ -285,6 +285,9 @@
 
     private companion object {
         const val TICK_MS = 10L
+
+        /** Time in ms after its deadline in which a decided request gets its answer even on a busy machine. */
+        const val UNDECIDED_MS = 1_000L
         const val FULL_TICK_MS = 250L
     }
 }
