--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/LoadBudget.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/LoadBudget.kt
@@ -17,6 +17,7 @@
 import io.skylarkstile.schema.generated.LoadAsk
 import io.skylarkstile.schema.generated.LoadDone
 import io.skylarkstile.schema.generated.LoadGrant
+import io.skylarkstile.transport.peer.MessageKinds
 import io.skylarkstile.transport.peer.PeerNetwork
 import kotlinx.coroutines.delay
 import java.util.concurrent.locks.ReentrantLock
@@ -54,8 +55,8 @@
     private var ownerlessSince: Long? = null
 
     init {
-        network.answer(loadAskKind, loadGrantKind) { _, ask -> granted(ask) ?: LoadGrant(granted = false) }
-        network.receive(loadDoneKind) { _, done -> finished(done.permit) }
+        network.answer(MessageKinds.loadAsk, MessageKinds.loadGrant) { _, ask -> granted(ask) ?: LoadGrant(granted = false) }
+        network.receive(MessageKinds.loadDone) { _, done -> finished(done.permit) }
     }
 
     override fun resources(): List<Resource> = listOf(loadBudgetResource)
@@ -78,10 +79,18 @@
         owner: String,
         ask: LoadAsk,
     ): LoadPermit? {
-        val grant = network.call(owner, loadAskKind, ask, loadGrantKind, CALL_TIMEOUT_MS).getOrElse { return fallbackOrNull() }
+        val grant =
+            network
+                .call(
+                    owner,
+                    MessageKinds.loadAsk,
+                    ask,
+                    MessageKinds.loadGrant,
+                    CALL_TIMEOUT_MS,
+                ).getOrElse { return fallbackOrNull() }
         lock.withLock { ownerlessSince = null }
         val number = grant.permit?.takeIf { grant.granted } ?: return null
-        return LoadPermit { network.send(owner, loadDoneKind, LoadDone(number)) }
+        return LoadPermit { network.send(owner, MessageKinds.loadDone, LoadDone(number)) }
     }
 
     /** Queues [ask] and waits for its permit; null when there is none within 500 ms or this instance does not own the budget. */
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/Router.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/Router.kt
@@ -14,6 +14,7 @@
 import io.skylarkstile.core.snapshot.SnapshotSource
 import io.skylarkstile.schema.generated.TargetRecord
 import io.skylarkstile.schema.generated.TargetState
+import io.skylarkstile.transport.peer.MessageKinds
 import io.skylarkstile.transport.peer.PeerNetwork
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
@@ -81,7 +82,7 @@
     private var requestMs = FIRST_REQUEST_MS
 
     init {
-        network.receive(targetStateKind) { _, state -> accept(state) }
+        network.receive(MessageKinds.targetState) { _, state -> accept(state) }
     }
 
     /** Takes over a newer [state]. A higher epoch replaces a lower one whatever the sequence. */
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/StateBroadcast.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/StateBroadcast.kt
@@ -5,6 +5,7 @@
 
 import io.skylarkstile.core.cluster.ClusterView
 import io.skylarkstile.schema.generated.TargetState
+import io.skylarkstile.transport.peer.MessageKinds
 import io.skylarkstile.transport.peer.PeerNetwork
 import kotlinx.coroutines.delay
 import java.util.concurrent.ConcurrentHashMap
@@ -63,7 +64,7 @@
         val before = sent[state.target]
         if (before != null && !isRepeatDue(state.target, at) && !isWorthSending(before.state, state)) return
         sent[state.target] = Sent(state, at)
-        cluster.members().filter { it.instance != cluster.self }.forEach { network.send(it.instance, targetStateKind, state) }
+        cluster.members().filter { it.instance != cluster.self }.forEach { network.send(it.instance, MessageKinds.targetState, state) }
     }
 
     /** Every request changes the load, so a small change of it waits for the next repeat. */
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/TargetOwner.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/TargetOwner.kt
@@ -81,9 +81,12 @@
     ) {
         epochs[resource] = epoch
         val name = resource.key.substringAfter('/')
+        val facts = factsOrNull(snapshots.current(), name)
         owned.compute(name) { _, before ->
+            val isSame = before != null && facts != null && before.target.epoch == epoch && !isOtherEngine(facts, before.target)
+            if (isSame) return@compute before.also { it.target.update(facts) }
             before?.let { retire(it) }
-            factsOrNull(snapshots.current(), name)?.let { start(name, resource, epoch, it) }
+            facts?.let { start(name, resource, epoch, it) }
         }
         onStateChange(name)
     }
