--- a/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/load/LoadQueue.kt
+++ b/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/load/LoadQueue.kt
@@ -18,6 +18,12 @@
     val permitMs: Long,
 )
 
+/** Ranks loads: [waiting] requests wait for the adapter, the oldest for [oldestMs] milliseconds. */
+fun loadUrgency(
+    waiting: Int,
+    oldestMs: Long,
+): Double = waiting + oldestMs / AGE_PER_REQUEST_MS
+
 /** Names what a permit is for. */
 data class LoadKey(
     val target: String,
@@ -131,7 +137,7 @@
     private fun urgency(
         ask: Ask,
         now: Long,
-    ): Double = ask.waiting + (now - ask.waitingSince) / AGE_PER_REQUEST_MS
+    ): Double = loadUrgency(ask.waiting, now - ask.waitingSince)
 
     private fun refill(now: Long) {
         if (now <= refilledAt) return
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/ModelDispatcher.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/ModelDispatcher.kt
@@ -16,6 +16,7 @@
 import kotlinx.coroutines.flow.catch
 import kotlinx.coroutines.flow.firstOrNull
 import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.withTimeoutOrNull
 
 private val log = KotlinLogging.logger {}
 
@@ -26,6 +27,7 @@
 /** All targets are tried again this many times, after a pause, when the reason passes quickly. */
 private const val ROUNDS = 3
 private const val ROUND_PAUSE_MS = 150L
+private const val DEADLINE_GRACE_MS = 250L
 private val passingReasons = setOf("not-owner", "not-sent", ADAPTER_MISSING, "target-unreachable", "load-failed", "target-busy")
 
 /** Runs model requests for the HTTP front. */
@@ -122,6 +124,15 @@
             router.sent(candidate.target)
             val sent = request.copy(target = candidate.target, deadlineMs = remainingMs(), resumeFrom = session.tokens)
             val events = if (candidate.owner == self) owner.run(sent) else network.dispatch(candidate.owner, sent)
+            // The owner keeps the deadline too; this one holds when the owner is silent.
+            return withTimeoutOrNull(remainingMs() + DEADLINE_GRACE_MS) { endOf(candidate, events) }
+                ?: unknownEnd("deadline", "instance ${candidate.owner} did not end the request in time")
+        }
+
+        private suspend fun endOf(
+            candidate: Candidate,
+            events: Flow<DispatchEvent>,
+        ): DispatchEnd {
             var end: DispatchEnd? = null
             events
                 .catch { failure ->
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/OwnedTarget.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/OwnedTarget.kt
@@ -6,6 +6,7 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.skylarkstile.core.cluster.Resource
+import io.skylarkstile.core.load.loadUrgency
 import io.skylarkstile.core.placement.AdapterSlots
 import io.skylarkstile.core.placement.Popularity
 import io.skylarkstile.core.placement.SlotPhase
@@ -239,7 +240,7 @@
                 .parkedByModel()
                 .filterKeys { it !in asking && !slots.isChanging(it) && backoffs.isLoadAllowed(it, now) }
                 .map { (model, entries) -> LoadAsk(name, model, entries.size, now - entries.minOf { it.arrivedAt }) }
-                .sortedWith(compareByDescending<LoadAsk> { it.waiting }.thenByDescending { it.oldestMs })
+                .sortedByDescending { loadUrgency(it.waiting, it.oldestMs) }
         if (asks.isEmpty()) return asks
         val idle = slots.idle(foreignPins(), popularity, now, queue::isWanted)
         val free = facts.record.slots - slots.occupied
--- a/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/target/ModelDispatcherSpec.kt
+++ b/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/target/ModelDispatcherSpec.kt
@@ -9,6 +9,7 @@
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldNotContain
 import io.kotest.matchers.string.shouldStartWith
@@ -22,8 +23,10 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.withTimeout
 import kotlin.random.Random
 
@@ -181,6 +184,17 @@
             }
         }
 
+        test("a request to an owner that is silent ends with an explicit error soon after its deadline") {
+            fleet { fleet ->
+                val owner = "e" + fleet.targetOf("a").drop(1)
+                val entry = listOf("e1", "e2", "e3").first { it != owner }
+                fleet.networks.getValue(owner).onDispatch { _, _ -> flow { awaitCancellation() } }
+                val startedAt = clock()
+                fleet.run(entry, "a", "r1", deadlineMs = 300).shouldBePrefix("a")
+                (clock() - startedAt) shouldBeLessThan 2_000L
+            }
+        }
+
         test("a request of which nothing ran ends as not run") {
             fleet { fleet ->
                 fleet.http.down.addAll(fleet.engines.keys)
