--- a/skylarkstile-ctl/src/test/kotlin/io/skylarkstile/ctl/Operator.kt
+++ b/skylarkstile-ctl/src/test/kotlin/io/skylarkstile/ctl/Operator.kt
@@ -20,10 +20,12 @@
     val out = mutableListOf<String>()
     val err = mutableListOf<String>()
 
-    suspend fun call(vararg args: String): Int {
+    suspend fun call(vararg args: String): Int = exactly(listOf("--platform", "127.0.0.1:1") + args)
+
+    suspend fun exactly(args: List<String>): Int {
         out.clear()
         err.clear()
-        return run(arrayOf("--platform", "127.0.0.1:1", *args), Console(out::add, err::add), NoHttp) { _, _ -> store }.code
+        return run(args.toTypedArray(), Console(out::add, err::add), NoHttp) { _, _ -> store }.code
     }
 
     suspend fun apply(text: String): Int = call("apply", file(text).toString())
