--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/snapshot/SnapshotSync.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/snapshot/SnapshotSync.kt
@@ -17,7 +17,7 @@
 import io.skylarkstile.schema.generated.Member
 import io.skylarkstile.schema.generated.SnapshotPull
 import io.skylarkstile.schema.generated.SnapshotPush
-import io.skylarkstile.transport.peer.MessageKind
+import io.skylarkstile.transport.peer.MessageKinds
 import io.skylarkstile.transport.peer.PeerNetwork
 import io.skylarkstile.transport.platform.ListedInstance
 import io.skylarkstile.transport.platform.ObjectStore
@@ -63,8 +63,8 @@
     val self: String,
     /** Returns the members of the newest known roster. */
     val members: () -> List<Member>,
-    /** Returns the snapshot revision that each peer has last reported. */
-    val peerRevisions: () -> Map<String, Long>,
+    /** Returns the snapshot revision that each peer has last reported; not needed where [SnapshotSync.peerAhead] is called. */
+    val peerRevisions: () -> Map<String, Long> = { emptyMap() },
 )
 
 /** Keeps the snapshot of one instance. [watchMs] is the longest wait of a watch in milliseconds. */
@@ -78,20 +78,27 @@
     private val wake = Channel<Unit>(Channel.CONFLATED)
     private val counters = SyncCounters()
 
-    /** Revision that heartbeats report. */
-    val revision: Long get() = keeper.state.revision
+    /** Revision that heartbeats report; that of [current], so whoever reads it first and [current] later sees at least its records. */
+    val revision: Long get() = current().revision
 
     /** Registers the message handlers and starts the loops in [scope]. */
     fun start(scope: CoroutineScope) {
-        peers.answer(snapshotPull, snapshotPush) { _, pull -> keeper.state.page(pull.after, pull.offset, current().leavingTargets) }
-        peers.receive(snapshotPush, ::pushed)
+        peers.answer(MessageKinds.snapshotPull, MessageKinds.snapshotPush) { _, pull ->
+            keeper.state.page(pull.after, pull.offset, current().leavingTargets)
+        }
+        peers.receive(MessageKinds.snapshotPush, ::pushed)
         scope.launch { watchLoop() }
         scope.launch { pullLoop() }
         scope.launch { pollLoop() }
     }
 
-    /** Tells that a peer has reported a higher revision; the next pull starts at once. */
-    fun peerAhead() {
+    /** Tells that [peer] has reported [revision]; when that is news, a pull starts at once. */
+    fun peerAhead(
+        peer: String,
+        revision: Long,
+    ) {
+        if (revision <= keeper.state.known) return
+        counters.announced[peer] = revision
         wake.trySend(Unit)
     }
 
@@ -168,8 +175,7 @@
     }
 
     private suspend fun pullFrom(peer: String): Boolean {
-        val pulled =
-            pull(keeper.state.known) { ask -> peers.call(peer, snapshotPull, ask, snapshotPush, PAGE_TIMEOUT_MS).get() } ?: return false
+        val pulled = pull(keeper.state.known) { askPage(peer, it) } ?: return false
         counters.pulls.incrementAndGet()
         counters.announced[peer] = pulled.revision
         val changed = advance(pulled::addTo)
@@ -177,6 +183,11 @@
         return changed
     }
 
+    private suspend fun askPage(
+        peer: String,
+        ask: SnapshotPull,
+    ): SnapshotPush? = peers.call(peer, MessageKinds.snapshotPull, ask, MessageKinds.snapshotPush, PAGE_TIMEOUT_MS).get()
+
     private fun advance(next: (SnapshotState) -> SnapshotState): Boolean =
         keeper.advance(next).also { if (it) announce(peers.connected().shuffled().take(ANNOUNCED_PEERS), current()) }
 
@@ -187,7 +198,7 @@
         fromPoller: Boolean = false,
     ) {
         val push = SnapshotPush(snapshot.revision, complete = false, more = !fromPoller, emptyList(), leaving.sorted())
-        to.forEach { peers.send(it, snapshotPush, push) }
+        to.forEach { peers.send(it, MessageKinds.snapshotPush, push) }
     }
 
     /** Takes an announcement: with `more` of a revision that can be pulled, without it of the leaving targets that a poller has seen. */
@@ -197,10 +208,7 @@
     ) {
         counters.pushes.incrementAndGet()
         if (!push.more) keeper.leaving(from, push.leavingTargets.toSet(), pollers(around.members()))
-        if (push.revision > keeper.state.known) {
-            counters.announced[from] = push.revision
-            wake.trySend(Unit)
-        }
+        peerAhead(from, push.revision)
     }
 
     private suspend fun pollLoop() {
@@ -264,6 +272,3 @@
         .keys
         .toSet()
 }
-
-internal val snapshotPull = MessageKind("SnapshotPull", SnapshotPull.serializer())
-internal val snapshotPush = MessageKind("SnapshotPush", SnapshotPush.serializer())
