--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/EntryInstance.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/EntryInstance.kt
@@ -54,7 +54,6 @@
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.encodeToJsonElement
-import java.util.concurrent.ConcurrentHashMap
 
 private val log = KotlinLogging.logger {}
 
@@ -81,7 +80,6 @@
     private val http = httpClient(settings.target.connectTimeoutMs.toLong())
     private val store = objectStore(settings.platform.address, http, settings.platform.timeoutMs.toLong())
     private val running = RunningCalls()
-    private val peerRevisions = ConcurrentHashMap<String, Long>()
     private val cluster: ClusterService =
         clusterService(
             settings.instance,
@@ -91,7 +89,7 @@
         )
     private val snapshots: SnapshotSync =
         snapshotSync(
-            SnapshotSurroundings(settings.instance.name, cluster::members) { peerRevisions },
+            SnapshotSurroundings(settings.instance.name, cluster::members),
             store,
             network,
             settings.platform.watchMs.toLong(),
@@ -198,8 +196,7 @@
             peer: String,
             revision: Long,
         ) {
-            peerRevisions.merge(peer, revision, ::maxOf)
-            snapshots.peerAhead()
+            snapshots.peerAhead(peer, revision)
         }
     }
 
