--- a/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/load/LoadQueue.kt
+++ b/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/load/LoadQueue.kt
@@ -4,6 +4,8 @@
  */
 package io.skylarkstile.core.load
 
+import kotlinx.serialization.Serializable
+
 /** A wait of this many milliseconds counts as much as one more waiting request. */
 private const val AGE_PER_REQUEST_MS = 100.0
 
@@ -18,13 +20,21 @@
     val permitMs: Long,
 )
 
+/** Ranks loads: [waiting] requests wait for the adapter, the oldest for [oldestMs] milliseconds. */
+fun loadUrgency(
+    waiting: Int,
+    oldestMs: Long,
+): Double = waiting + oldestMs / AGE_PER_REQUEST_MS
+
 /** Names what a permit is for. */
+@Serializable
 data class LoadKey(
     val target: String,
     val adapter: String,
 )
 
 /** A permit for one load. */
+@Serializable
 data class Permit(
     val number: Long,
     val key: LoadKey,
@@ -38,6 +48,7 @@
 )
 
 /** State of the queue for dumps. */
+@Serializable
 data class LoadQueueDump(
     val tokens: Double,
     val permits: List<Permit>,
@@ -131,7 +142,7 @@
     private fun urgency(
         ask: Ask,
         now: Long,
-    ): Double = ask.waiting + (now - ask.waitingSince) / AGE_PER_REQUEST_MS
+    ): Double = loadUrgency(ask.waiting, now - ask.waitingSince)
 
     private fun refill(now: Long) {
         if (now <= refilledAt) return
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/LoadBudget.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/LoadBudget.kt
@@ -17,8 +17,10 @@
 import io.skylarkstile.schema.generated.LoadAsk
 import io.skylarkstile.schema.generated.LoadDone
 import io.skylarkstile.schema.generated.LoadGrant
+import io.skylarkstile.transport.peer.MessageKinds
 import io.skylarkstile.transport.peer.PeerNetwork
 import kotlinx.coroutines.delay
+import kotlinx.serialization.Serializable
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 
@@ -32,6 +34,7 @@
 private const val DENIED_PAUSE_MS = 50L
 
 /** State of the load budget for dumps. [queue] is null on an instance that does not own it. */
+@Serializable
 data class LoadBudgetDump(
     val queue: LoadQueueDump?,
     val lastRefusal: String?,
@@ -54,8 +57,8 @@
     private var ownerlessSince: Long? = null
 
     init {
-        network.answer(loadAskKind, loadGrantKind) { _, ask -> granted(ask) ?: LoadGrant(granted = false) }
-        network.receive(loadDoneKind) { _, done -> finished(done.permit) }
+        network.answer(MessageKinds.loadAsk, MessageKinds.loadGrant) { _, ask -> granted(ask) ?: LoadGrant(granted = false) }
+        network.receive(MessageKinds.loadDone) { _, done -> finished(done.permit) }
     }
 
     override fun resources(): List<Resource> = listOf(loadBudgetResource)
@@ -78,10 +81,18 @@
         owner: String,
         ask: LoadAsk,
     ): LoadPermit? {
-        val grant = network.call(owner, loadAskKind, ask, loadGrantKind, CALL_TIMEOUT_MS).getOrElse { return fallbackOrNull() }
+        val grant =
+            network
+                .call(
+                    owner,
+                    MessageKinds.loadAsk,
+                    ask,
+                    MessageKinds.loadGrant,
+                    CALL_TIMEOUT_MS,
+                ).getOrElse { return fallbackOrNull() }
         lock.withLock { ownerlessSince = null }
         val number = grant.permit?.takeIf { grant.granted } ?: return null
-        return LoadPermit { network.send(owner, loadDoneKind, LoadDone(number)) }
+        return LoadPermit { network.send(owner, MessageKinds.loadDone, LoadDone(number)) }
     }
 
     /** Queues [ask] and waits for its permit; null when there is none within 500 ms or this instance does not own the budget. */
