Give each test JVM a loopback IP of its own

Cause: in a trial an entry instance could not start because its address was in use. Most likely another test run on the machine took the port between the check and the bind; which process held it was not determined. Change: addresses come from an IP in 127.64.0.0/10 that is made of the process id of the test JVM. Conclusion: test runs side by side no longer share ports.

--- a/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/harness/Ports.kt
+++ b/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/harness/Ports.kt
@@ -1,5 +1,6 @@
 /*
- * Free loopback ports for processes that must keep their address over a restart.
+ * Free loopback addresses for processes that must keep their address over a restart. Each test JVM has a loopback IP of its own, so
+ * test runs on the same machine cannot take each other's ports between the check and the bind.
  */
 package io.skylarkstile.tests.harness
 
@@ -7,25 +8,32 @@
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.util.concurrent.atomic.AtomicInteger
-import kotlin.random.Random
 
 /** The range lies below the ports that Linux gives to outgoing connections, so none of those takes a port before its process binds it. */
 private const val FIRST_PORT = 15_000
 private const val PORT_COUNT = 17_000
 
-private val next = AtomicInteger(Random.nextInt(PORT_COUNT))
+private val next = AtomicInteger()
+
+/** The IP is made of the process id, which has at most 22 bits on Linux; the second byte starts at 64 to keep off common addresses. */
+private val ip: String =
+    ProcessHandle
+        .current()
+        .pid()
+        .toInt()
+        .let { pid -> "127.${64 + (pid shr 16 and 0x3f)}.${pid shr 8 and 0xff}.${pid and 0xff}" }
 
 /** Returns a loopback address (`ip:port`) that nobody listens on and that was not given out before in this process. */
 internal fun freeAddress(): String {
     repeat(PORT_COUNT) {
         val port = FIRST_PORT + next.getAndIncrement().mod(PORT_COUNT)
-        if (isFree(port)) return "127.0.0.1:$port"
+        if (isFree(port)) return "$ip:$port"
     }
     error("no free loopback port")
 }
 
 private fun isFree(port: Int): Boolean = try {
-    ServerSocket(port, 1, InetAddress.getLoopbackAddress()).close()
+    ServerSocket(port, 1, InetAddress.getByName(ip)).close()
     true
 } catch (_: IOException) {
     false
