--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/snapshot/SnapshotSync.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/snapshot/SnapshotSync.kt
@@ -44,6 +44,9 @@
 private const val PEERS_FIRST_MS = 500L
 private const val PEERS_CHECK_MS = 50L
 
+/** Pause after a change in milliseconds: a bulk write of thousands of records then costs 20 watch calls and snapshots a second at most. */
+private const val BATCH_MS = 50L
+
 /** Time limit of one page of a pull in milliseconds. */
 private const val PAGE_TIMEOUT_MS = 1_000L
 
@@ -144,7 +147,8 @@
     private suspend fun watch(): Boolean {
         val after = keeper.state.known
         val answer = store.watch(RecordKind.labels, after, watchMs)
-        answer.get()?.let { list -> advance { it.changed(list.records, after, list.revision) } }
+        val changed = answer.get()?.let { list -> advance { it.changed(list.records, after, list.revision) } } ?: false
+        if (changed) delay(BATCH_MS)
         return answer.fold({ noted(answer) }, { if (it is StoreError.HistoryGone) list() else noted(answer) })
     }
 
