--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/snapshot/SnapshotSync.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/snapshot/SnapshotSync.kt
@@ -105,6 +105,11 @@
         wake.trySend(Unit)
     }
 
+    /** Compares with the peers' reported revisions at once; for callers that supply [SnapshotSurroundings.peerRevisions]. */
+    fun peerAhead() {
+        wake.trySend(Unit)
+    }
+
     /** Returns the state for the dump. Records appear as counts, and unreadable ones by name, so no key or hash is shown. */
     fun dump(): JsonElement = dumpOf(keeper.state, current(), isWatcher(), isPoller(), counters)
 
