Let a call end by itself after an engine restart; compare the policies in a simulation

Cause: a request sent just after a restart was given up as unknown when the state poll saw the new boot id before the engine's refusal arrived; EngineStandinSpec failed once by it. Change: after a restart a call gets 300 ms to end by itself; the restart test runs 20 times. PolicySimulationSpec: 13 engines, 16 slots, 3,000 adapters, 40 requests/s, 26% of adapters wake or go idle in an hour.

--- a/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/placement/Popularity.kt
+++ b/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/placement/Popularity.kt
@@ -6,7 +6,10 @@
 import kotlin.math.ln
 import kotlin.math.pow
 
-/** Popularity follows shifts within about a minute and forgets an idle adapter in a few minutes. */
+/**
+ * Popularity follows shifts within about a minute. In PolicySimulationSpec 120 s made 4% fewer load stalls when 26% of the adapters wake or go
+ * idle within an hour, and 2% more when they do so 27 times as fast.
+ */
 private const val HALF_LIFE_MS = 30_000.0
 private const val NEGLIGIBLE = 0.001
 private const val PRUNE_SIZE = 4_096
--- a/skylarkstile-core/src/test/kotlin/io/skylarkstile/core/placement/PolicySimulationSpec.kt
+++ b/skylarkstile-core/src/test/kotlin/io/skylarkstile/core/placement/PolicySimulationSpec.kt
@@ -27,23 +27,21 @@
 
 private class Engine(
     val name: String,
-    halfLifeMs: Double,
 ) {
     /** Loaded adapters with the time of their last use. */
     val loaded = HashMap<Int, Long>()
     val pins = HashMap<Int, Int>()
-    val popularity = Popularity(halfLifeMs)
+    val popularity = Popularity()
     val load: Int get() = pins.values.sum()
 }
 
 private class Simulation(
     private val policy: Policy,
     seed: Long,
-    private val halfLifeMs: Double = 30_000.0,
 ) {
     private val random = Random(seed)
     private val choice = Random(seed + 1)
-    private val engines = (1..ENGINES).map { Engine("t$it", halfLifeMs) }
+    private val engines = (1..ENGINES).map { Engine("t$it") }
     private val ends = PriorityQueue<Triple<Long, Engine, Int>>(compareBy { it.first })
     private val rank = IntArray(ADAPTERS) { it }
     private val cumulative = (1..ADAPTERS).runningFold(0.0) { sum, at -> sum + 1 / at.toDouble().pow(1.1) }.drop(1)
@@ -155,10 +153,10 @@
             listOf(20_261_204L, 7L, 99L).forEach { seed ->
                 val shares = Policy.entries.associateWith { Simulation(it, seed).stallShare() }
                 println("PolicySimulationSpec: seed $seed, share of requests that wait for a load: $shares")
-                println(
-                    "TRIAL " + listOf(30, 120, 300, 600, 1200).associateWith { Simulation(Policy.Ours, seed, it * 1_000.0).stallShare() },
-                )
-                println("BOUND " + offlineShare(seed))
+                val bound = offlineShare(seed)
+                println("PolicySimulationSpec: offline bound $bound, ratio ${shares.getValue(Policy.Ours) / bound}")
+                // The goal of the design page is 1.25; the ratio measured is about 1.42, and this keeps it from rising unnoticed.
+                shares.getValue(Policy.Ours) shouldBeLessThan 1.5 * bound
                 shares.getValue(Policy.Ours) shouldBeLessThan shares.filterKeys { it != Policy.Ours }.values.min()
             }
         }
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/DispatchEnds.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/DispatchEnds.kt
@@ -8,6 +8,9 @@
 /** Reason of a refusal by an engine that does not hold the adapter. */
 internal const val ADAPTER_MISSING = "adapter-missing"
 
+/** Reason of giving up requests that ran before the engine restarted. */
+internal const val TARGET_RESTARTED = "target-restarted"
+
 internal val doneEnd = DispatchEnd(DispatchEnd.Outcome.Done)
 
 /** Ends a request of which nothing ran. */
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/OwnedTarget.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/OwnedTarget.kt
@@ -217,7 +217,7 @@
         boot++
         slots.forget()
         if (fencing && phase == TargetPhase.Ready) phase = TargetPhase.Starting
-        running.keys.forEach { it.aborted.complete("target-restarted") }
+        running.keys.forEach { it.aborted.complete(TARGET_RESTARTED) }
         return true
     }
 
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/TargetRun.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/TargetRun.kt
@@ -8,6 +8,7 @@
 import io.skylarkstile.schema.generated.Dispatch
 import io.skylarkstile.schema.generated.DispatchEnd
 import io.skylarkstile.transport.http.HttpFailure
+import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.channels.Channel
@@ -20,6 +21,7 @@
 
 /** An engine that has just restarted refuses requests for the adapters it had; they wait here for the load instead of going elsewhere. */
 private const val MAX_ATTEMPTS = 3
+private const val RESTART_GRACE_MS = 300L
 
 /** Runs [request] on [target]; the flow ends with [DispatchEvent.End] unless its collector is cancelled. */
 internal fun runOn(
@@ -79,7 +81,7 @@
             withTimeoutOrNull(remainingMs) {
                 select {
                     answer.onAwait { it }
-                    work.aborted.onAwait { unknownEnd(it, "target ${target.name}") }
+                    work.aborted.onAwait { reason -> endAfterAbort(answer, reason) }
                 }
             }
         answer.cancelAndJoin()
@@ -88,6 +90,15 @@
         end ?: unknownEnd("deadline", "target ${target.name} did not finish in time")
     }
 
+    /** After a restart the call mostly ends by itself, often as a refusal of which nothing ran, so it gets a moment to say so. */
+    private suspend fun endAfterAbort(
+        answer: Deferred<DispatchEnd>,
+        reason: String,
+    ): DispatchEnd {
+        val own = if (reason == TARGET_RESTARTED) withTimeoutOrNull(RESTART_GRACE_MS) { answer.await() } else null
+        return own ?: unknownEnd(reason, "target ${target.name}")
+    }
+
     private suspend fun sendAndRelay(start: Decision.Start): DispatchEnd {
         isComplete = false
         return target.engine.complete(request, start.handle, env.settings.idleTimeoutMs.toLong()).fold(
--- a/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/target/EngineStandinSpec.kt
+++ b/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/target/EngineStandinSpec.kt
@@ -140,7 +140,7 @@
             fixture(false) { fixture -> answerOf(fixture.owner.run(request("a", "r1", from = 5))).text shouldBe expected("a", "r1", 5) }
         }
 
-        test("after a restart the running stream ends with an error and the next request is served") {
+        test("after a restart the running stream ends with an error and the next request is served").config(invocations = 20) {
             fixture(true) { fixture ->
                 coroutineScope {
                     val running = async { answerOf(fixture.owner.run(request("a", "r1"))) }
