Report ready when the instance has a share; end forwarded answers when isolated

Cause: the first request after readiness was refused with 429, since a new member refills nothing for 1 s after it becomes active; and answers that an isolated owner ran for other instances went on after 5 s without a lease. Change: readiness waits for that time; isolation also aborts the running work of owned targets. The quota proof cuts both directions. Conclusion: a caller that waits for readiness is not refused at the start.

--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/EntryInstance.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/EntryInstance.kt
@@ -8,6 +8,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.skylarkstile.config.key.checkKeyOrNull
 import io.skylarkstile.config.log.event
+import io.skylarkstile.core.limit.LOAN_MS
 import io.skylarkstile.core.snapshot.Snapshot
 import io.skylarkstile.entry.admin.Admin
 import io.skylarkstile.entry.admin.DumpPart
@@ -121,6 +122,9 @@
     @Volatile
     private var draining = false
 
+    @Volatile
+    private var servingSince = NOT_SERVING
+
     val callerAddress: String get() = settings.instance.advertisedCallerAddress ?: settings.instance.callerAddress
 
     fun start() {
@@ -166,7 +170,16 @@
 
     private fun sendMarginMs() = settings.cluster.sendMarginMs.toLong()
 
-    private fun notReadyOrNull(): String? = if (draining) "the instance is shutting down" else cannotServeOrNull()
+    /** A new member has no tokens of its own for [LOAN_MS], so it would refuse first requests that no peer lends tokens for. */
+    private fun notReadyOrNull(): String? {
+        val obstacle = if (draining) "the instance is shutting down" else cannotServeOrNull()
+        if (obstacle != null) {
+            servingSince = NOT_SERVING
+        } else if (servingSince == NOT_SERVING) {
+            servingSince = monotonicMs()
+        }
+        return obstacle ?: "the share of the rate is not available yet".takeIf { monotonicMs() - servingSince < LOAN_MS + READY_MARGIN_MS }
+    }
 
     private fun cannotServeOrNull(): String? {
         val own = cluster.members().firstOrNull { it.instance == settings.instance.name }
@@ -189,6 +202,7 @@
 
         override fun onIsolated() {
             val ended = running.endIsolated()
+            targets.owner.abortRunning("isolated")
             log.event(Level.WARN, "isolated", "count" to ended) { "no contact with the platform and peers; running calls end" }
         }
 
@@ -245,5 +259,9 @@
         const val READY_POLL_MS = 20L
         const val ADMIN_CONNECTIONS = 64
         const val DEPART_MS = 2_000L
+        const val NOT_SERVING = Long.MIN_VALUE
+
+        /** Time for the first tokens after the wait; 100 ms fill a bucket of 10 requests per second. */
+        const val READY_MARGIN_MS = 100L
     }
 }
--- a/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/proof/QuotaProofSpec.kt
+++ b/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/proof/QuotaProofSpec.kt
@@ -93,9 +93,11 @@
                     delay(1_000)
                     val replacement = fleet.entry("entry-4")
                     jobs += with(flood) { flood(replacement) }
-                    fleet.proxy.set("""{"links":{"peers-entry-1":{"cut":true}}}""")
+                    fleet.proxy.set("""{"links":["peers-entry-1"],"cut":true}""")
+                    fleet.proxy.set("""{"links":["peers-*"],"from":"entry-1","cut":true}""")
                     delay(5_000)
-                    fleet.proxy.set("""{"links":{"peers-entry-1":{"cut":false}}}""")
+                    fleet.proxy.set("""{"links":["peers-*"],"heal":true}""")
+                    fleet.proxy.set("""{"links":["peers-*"],"from":"entry-1","heal":true}""")
                     fleet.objects.set("""{"outage":"unavailable"}""")
                     delay(5_000)
                     fleet.objects.set("""{"outage":"none"}""")
