--- a/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/report/Summary.kt
+++ b/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/report/Summary.kt
@@ -69,7 +69,7 @@
     policy: String,
     limits: Map<String, QuotaLimits>,
     leastLoads: Int,
-    fleet: FleetCounts,
+    fleet: FleetCounts = FleetCounts(),
 ): Summary {
     val workspaces = records.groupBy { it.arrival.workspace }.mapValues { (name, own) -> summarizeWorkspace(own, limits.getValue(name)) }
     val within = workspaces.values.sumOf { it.withinRate }
