--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/RunningCalls.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/RunningCalls.kt
@@ -22,23 +22,40 @@
     private val calls = ConcurrentHashMap<Long, RunningCall>()
     private val ids = AtomicLong()
 
+    @Volatile
+    private var newest: Snapshot? = null
+
     val count: Int get() = calls.size
 
+    /** Adds a call. A key that was withdrawn after the call was identified, while it waited for admission, ends it at once. */
     fun begin(
         keyId: String?,
         workspace: String,
         now: Long,
-    ): RunningCall = RunningCall(ids.incrementAndGet(), keyId, workspace, now).also { calls[it.id] = it }
+    ): RunningCall {
+        val call = RunningCall(ids.incrementAndGet(), keyId, workspace, now)
+        calls[call.id] = call
+        newest?.let { endIfWithdrawn(call, it) }
+        return call
+    }
 
     fun end(call: RunningCall) {
         calls.remove(call.id)
     }
 
     /** Ends the calls whose key [snapshot] no longer accepts; returns their number. */
-    fun endWithdrawn(snapshot: Snapshot): Int = calls.values.count { call ->
-        val key = call.keyId ?: return@count false
+    fun endWithdrawn(snapshot: Snapshot): Int {
+        newest = snapshot
+        return calls.values.count { endIfWithdrawn(it, snapshot) }
+    }
+
+    private fun endIfWithdrawn(
+        call: RunningCall,
+        snapshot: Snapshot,
+    ): Boolean {
+        val key = call.keyId ?: return false
         val accepted = snapshot.keys[key]?.let { !it.withdrawn && it.workspace == call.workspace } ?: false
-        !accepted && call.ended.complete(KEY_WITHDRAWN)
+        return !accepted && call.ended.complete(KEY_WITHDRAWN)
     }
 
     /** Ends all calls, since this instance can no longer notice withdrawn keys. */
--- /dev/null
+++ b/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/front/RunningCallsSpec.kt
@@ -0,0 +1,30 @@
+/*
+ * Guards against calls that go on after their key was withdrawn.
+ */
+package io.skylarkstile.entry.front
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.skylarkstile.core.snapshot.Snapshot
+import io.skylarkstile.schema.generated.KeyRecord
+
+class RunningCallsSpec :
+    FunSpec({
+        val key = KeyRecord(1, "glass", "0".repeat(32), "0".repeat(64))
+        val before = Snapshot(revision = 1, keys = mapOf("k1" to key))
+        val after = Snapshot(revision = 2, keys = mapOf("k1" to key.copy(withdrawn = true)))
+
+        test("a call whose key was withdrawn while it waited for admission ends at once") {
+            val running = RunningCalls()
+            running.endWithdrawn(before) shouldBe 0
+            running.begin("k1", "glass", 0).ended.isCompleted shouldBe false
+            running.endWithdrawn(after) shouldBe 1
+            running.begin("k1", "glass", 0).ended.isCompleted shouldBe true
+        }
+
+        test("a call without a key goes on") {
+            val running = RunningCalls()
+            running.endWithdrawn(after)
+            running.begin(null, "glass", 0).ended.isCompleted shouldBe false
+        }
+    })
