--- a/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/limit/AdmissionLimiter.kt
+++ b/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/limit/AdmissionLimiter.kt
@@ -4,7 +4,7 @@
 package io.skylarkstile.core.limit
 
 /** Admits requests of workspaces. */
-interface AdmissionLimiter {
+fun interface AdmissionLimiter {
     /** Charges one request and [tokens] generated tokens to [workspace]; may wait shortly for tokens of other instances. */
     suspend fun admit(
         workspace: String,
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/ServiceCalls.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/ServiceCalls.kt
@@ -20,6 +20,9 @@
 import io.skylarkstile.transport.http.bytes
 import io.skylarkstile.transport.http.headersOf
 import io.skylarkstile.transport.http.wholeAnswer
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.selects.select
 import java.util.UUID
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
@@ -35,6 +38,7 @@
     private val client: HttpClient,
     private val limiter: AdmissionLimiter,
     private val ledger: LedgerRunner,
+    private val running: RunningCalls,
     private val metrics: FrontMetrics,
     private val settings: ServiceCallSettings,
     private val clock: () -> Long,
@@ -72,23 +76,38 @@
         val start = clock()
         val path = request.rawUri.removePrefix("/svc/$name").let { if (it.startsWith("/")) it else "/$it" }
         val idempotent = request.method in route.idempotentMethods.split(',').map { it.trim() }
+        val call = running.begin((caller as? Caller.Known)?.keyId, caller.workspaceOrNull ?: route.workspace, start)
         val answer =
-            if (idempotent) {
-                repeatable(
-                    request,
-                    path,
-                    ids,
-                    route,
-                    snapshot,
-                    admitted,
-                )
-            } else {
-                once(request, path, ids, caller, name, route, key, admitted)
+            try {
+                endedBy(call, ids) {
+                    if (idempotent) {
+                        repeatable(request, path, ids, route, snapshot, admitted)
+                    } else {
+                        once(request, path, ids, caller, name, route, key, admitted)
+                    }
+                }
+            } finally {
+                running.end(call)
+                // Only the first settlement counts, so this one is for calls that ended early: they may have run.
+                admitted.settle(0)
             }
         metrics.finished(route.workspace, "service-${answer.status}", clock() - start, 0)
         return answer
     }
 
+    /** Runs [work] until it is done or the running call is ended early, by a withdrawn key or a lost lease. */
+    private suspend fun endedBy(
+        call: RunningCall,
+        ids: RequestIds,
+        work: suspend () -> HttpAnswer,
+    ): HttpAnswer = coroutineScope {
+        val answer = async { work() }
+        select {
+            answer.onAwait { it }
+            call.ended.onAwait { problem -> problem.answer(ids.requestId).also { answer.cancel() } }
+        }
+    }
+
     private fun mayUse(
         route: RouteRecord,
         caller: Caller,
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/EntryInstance.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/EntryInstance.kt
@@ -228,7 +228,7 @@
         val callSettings = ModelCallSettings(settings.quota.defaultMaxTokens, timeoutMs)
         val models = ModelCalls(limiter, targets.dispatcher, running, metrics, callSettings, ::monotonicMs)
         val serviceSettings = ServiceCallSettings(settings.instance.dataCentre, settings.target.idleTimeoutMs.toLong(), timeoutMs)
-        val services = ServiceCalls(http, limiter, LedgerRunner(ledger.calls::call), metrics, serviceSettings, ::monotonicMs)
+        val services = ServiceCalls(http, limiter, LedgerRunner(ledger.calls::call), running, metrics, serviceSettings, ::monotonicMs)
         val verifier = KeyVerifier { s, key -> checkKeyOrNull(key, s.keys)?.id }
         return Front(snapshots, verifier, cluster, targets.dispatcher, models, services, settings.http.addressTtlMs, ::cannotServeOrNull)
     }
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/AnswerRelay.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/AnswerRelay.kt
@@ -19,6 +19,9 @@
 private const val MAX_WHOLE_BYTES = 16_777_216
 private const val BUSY_RETRY_MS = 200L
 
+/** Separates the epoch from `adapter@version` in a handle. */
+private const val EPOCH_MARK = '#'
+
 /** Passes the answer to [request], run on [handle], to [emit]. Used for one answer. */
 internal class AnswerRelay(
     private val request: Dispatch,
@@ -29,6 +32,8 @@
     var tokens = 0
         private set
 
+    private val modelField = Regex("\"model\"\\s*:\\s*\"${Regex.escape(handle)}\"")
+
     /** Passes [answer] on and returns how the request ended. */
     suspend fun relay(answer: HttpAnswer): DispatchEnd {
         if (!belongs(answer)) return mismatch(answer)
@@ -42,6 +47,12 @@
         }
     }
 
+    /** Callers know `adapter@version`; the epoch in a handle is internal. */
+    private fun withoutEpoch(data: ByteArray): ByteArray {
+        if (EPOCH_MARK !in handle) return data
+        return modelField.replace(data.decodeToString()) { "\"model\":\"${handle.substringBefore(EPOCH_MARK)}\"" }.encodeToByteArray()
+    }
+
     /** Errors may leave the names out: each completion has a connection of its own, so they cannot belong to another request. */
     private fun belongs(answer: HttpAnswer): Boolean {
         val isNameNeeded = answer.status in 200..299
@@ -78,8 +89,9 @@
         json?.let { idOrNull(it) }?.takeIf { isForeign(it) }?.let { return foreignEnd(it) }
         tokens = json?.let { completionTokensOrNull(it) } ?: 0
         emit(DispatchEvent.Head(answer.status, contentTypeOf(answer)))
-        for (from in body.indices step CHUNK_BYTES) {
-            emit(DispatchEvent.Chunk(body.copyOfRange(from, minOf(from + CHUNK_BYTES, body.size))))
+        val shown = withoutEpoch(body)
+        for (from in shown.indices step CHUNK_BYTES) {
+            emit(DispatchEvent.Chunk(shown.copyOfRange(from, minOf(from + CHUNK_BYTES, shown.size))))
         }
         return doneEnd
     }
@@ -118,7 +130,7 @@
         val meaning = read.meaning
         if (meaning is SseMeaning.Failed) return unknownEnd("target-error", meaning.detail)
         if (meaning is SseMeaning.Token) tokens++
-        passed.add(event)
+        passed.add(withoutEpoch(event))
         return doneEnd.takeIf { meaning == SseMeaning.Done }
     }
 }
--- a/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/harness/EntryFleetSpec.kt
+++ b/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/harness/EntryFleetSpec.kt
@@ -6,6 +6,7 @@
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
@@ -38,6 +39,7 @@
                 for (ask in listOf(Ask("stamps"), Ask("stamps", stream = false), Ask("stamps", chat = true))) {
                     caller.send(ask).shouldAnswer(ask, version = "3")
                 }
+                caller.send(Ask("stamps", stream = false)).body shouldContain "\"model\":\"stamps@3\""
                 Ask("stamps@2").let { caller.send(it).shouldAnswer(it, version = "2") }
                 caller.call("GET", "/svc/registry/registrations").status shouldBe 200
                 for (target in fleet.targets) {
