--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/ModelCalls.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/ModelCalls.kt
@@ -64,7 +64,7 @@
                 }
         val admitted =
             when (val a = limiter.admit(model.workspace, body.maxTokens)) {
-                is Admission.Refused -> return refused(a).also { metrics.refused(model.workspace, a.reason) }.answer(ids.requestId)
+                is Admission.Refused -> return a.problem().also { metrics.refused(model.workspace, a.reason) }.answer(ids.requestId)
                 is Admission.Admitted -> a
             }
         val weight = snapshot.workspaces[model.workspace]?.weight ?: 1.0
@@ -233,11 +233,6 @@
 
 private const val MAX_SHOWN = 100
 
-private fun refused(refusal: Admission.Refused): Problem {
-    val status = if (refusal.reason == "no-lease") 503 else 429
-    return Problem(status, refusal.reason, "the request was not admitted: ${refusal.reason}", Outcome.NotRun, refusal.retryAfterMs)
-}
-
 internal fun DispatchEnd.problem(): Problem {
     val code = reason ?: "target-failed"
     val text = detail ?: "the request ended without a complete answer"
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/Problem.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/Problem.kt
@@ -3,6 +3,7 @@
  */
 package io.skylarkstile.entry.front
 
+import io.skylarkstile.core.limit.Admission
 import io.skylarkstile.schema.recordJson
 import io.skylarkstile.transport.http.HttpAnswer
 import io.skylarkstile.transport.http.HttpHeaders
@@ -54,6 +55,12 @@
 
 internal fun notFound(detail: String): Problem = Problem(404, "not-found", detail, Outcome.NotRun)
 
+/** Returns the problem of a request that the limiter refused; an instance without a lease is out of service, the rest are over their rate. */
+internal fun Admission.Refused.problem(): Problem {
+    val status = if (reason == "no-lease") 503 else 429
+    return Problem(status, reason, "the request was not admitted: $reason", Outcome.NotRun, retryAfterMs)
+}
+
 internal fun unauthorized(): Problem = Problem(401, "key-not-accepted", "the key is missing, unknown or withdrawn", Outcome.NotRun)
 
 private const val MS_PER_SECOND = 1_000L
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/ServiceCalls.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/ServiceCalls.kt
@@ -70,7 +70,7 @@
         }
         val admitted =
             when (val a = limiter.admit(route.workspace, 0)) {
-                is Admission.Refused -> return refused(a, route.workspace).answer(ids.requestId)
+                is Admission.Refused -> return a.problem().also { metrics.refused(route.workspace, a.reason) }.answer(ids.requestId)
                 is Admission.Admitted -> a
             }
         val start = clock()
@@ -113,15 +113,6 @@
         caller: Caller,
     ): Boolean = route.open || route.workspace == caller.workspaceOrNull
 
-    private fun refused(
-        refusal: Admission.Refused,
-        workspace: String,
-    ): Problem {
-        metrics.refused(workspace, refusal.reason)
-        val status = if (refusal.reason == "no-lease") 503 else 429
-        return Problem(status, refusal.reason, "the request was not admitted: ${refusal.reason}", Outcome.NotRun, refusal.retryAfterMs)
-    }
-
     private suspend fun repeatable(
         request: HttpRequest,
         path: String,
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/Main.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/Main.kt
@@ -6,6 +6,7 @@
 
 import com.github.michaelbull.result.getOrElse
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.KotlinLoggingConfiguration
 import io.github.oshai.kotlinlogging.Level
 import io.skylarkstile.config.Finding
 import io.skylarkstile.config.log.configureLogging
@@ -20,7 +21,8 @@
 import java.nio.file.Path
 import kotlin.system.exitProcess
 
-private val log = KotlinLogging.logger {}
+/** Is created after the start of [main], which switches off the library's own start message. */
+private val log by lazy { KotlinLogging.logger {} }
 
 /** Exit code when the settings have findings. */
 private const val EXIT_FINDINGS = 1
@@ -29,6 +31,7 @@
 private const val EXIT_START_FAILED = 3
 
 fun main(args: Array<String>) {
+    KotlinLoggingConfiguration.logStartupMessage = false
     val parser = ArgParser("skylarkstile-entry")
     val file by parser.option(ArgType.String, "settings", "s", "Settings file (INI)").required()
     val check by parser.option(ArgType.Boolean, "check", "c", "Check the settings, print every finding and exit with 0 or 1").default(false)
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/snapshot/SnapshotSync.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/snapshot/SnapshotSync.kt
@@ -66,8 +66,6 @@
     val self: String,
     /** Returns the members of the newest known roster. */
     val members: () -> List<Member>,
-    /** Returns the snapshot revision that each peer has last reported; not needed where [SnapshotSync.peerAhead] is called. */
-    val peerRevisions: () -> Map<String, Long> = { emptyMap() },
 )
 
 /** Keeps the snapshot of one instance. [watchMs] is the longest wait of a watch in milliseconds. */
@@ -105,11 +103,6 @@
         wake.trySend(Unit)
     }
 
-    /** Compares with the peers' reported revisions at once; for callers that supply [SnapshotSurroundings.peerRevisions]. */
-    fun peerAhead() {
-        wake.trySend(Unit)
-    }
-
     /** Returns the state for the dump. Records appear as counts, and unreadable ones by name, so no key or hash is shown. */
     fun dump(): JsonElement = dumpOf(keeper.state, current(), isWatcher(), isPoller(), counters)
 
@@ -176,9 +169,7 @@
     private fun candidates(): List<String> {
         val known = keeper.state.known
         val connected = peers.connected()
-        val revisions = around.peerRevisions().toMutableMap()
-        counters.announced.forEach { (peer, revision) -> revisions.merge(peer, revision, ::maxOf) }
-        val reported = revisions.filter { it.key in connected && it.value > known }
+        val reported = counters.announced.filter { it.key in connected && it.value > known }
         val ahead = reported.entries.sortedByDescending { it.value }.map { it.key }
         return if (known == 0L) ahead + (connected - ahead.toSet()).shuffled() else ahead
     }
--- a/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/snapshot/SnapshotSyncSpec.kt
+++ b/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/snapshot/SnapshotSyncSpec.kt
@@ -91,7 +91,7 @@
             name: String,
             store: ObjectStore,
             members: List<Member>,
-        ) = snapshotSync(SnapshotSurroundings(name, { members }, { emptyMap() }), store, network(name), 200).also { it.start(scope) }
+        ) = snapshotSync(SnapshotSurroundings(name) { members }, store, network(name), 200).also { it.start(scope) }
 
         test("a change reaches an instance that is cut off from the platform, through its peers") {
             val hub = PeersInMemory()
