Let the limiter's timer sleep while no workspace is busy; plain names for two parts

Cause: an idle instance uses 9% of a core against a bound of 3.6%; the limiter polled each 10 ms. Change: the timer sleeps up to 250 ms and is woken by waiting requests and grants. RequestAttempts and wakeUps replace two private names.

--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/limit/BorrowingLimiter.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/limit/BorrowingLimiter.kt
@@ -28,6 +28,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
@@ -69,6 +70,9 @@
     private val waiting = ConcurrentHashMap<QuotaTicket, CompletableDeferred<Admission>>()
     private val counters = ConcurrentHashMap<String, QuotaCounter>()
 
+    /** Is sent to when a workspace becomes busy, so that the timer can sleep while none is. */
+    private val wake = Channel<Unit>(Channel.CONFLATED)
+
     fun start() {
         snapshots.onChange { applySnapshot() }
         applySnapshot()
@@ -104,6 +108,7 @@
         answer: CompletableDeferred<Admission>,
     ): Admission {
         var delivered = false
+        if (!answer.isCompleted) wake.trySend(Unit)
         try {
             while (withTimeoutOrNull(maxOf(1, ticket.deadline - clock())) { answer.join() } == null) {
                 val isKnown = poll(workspace) != null
@@ -201,6 +206,7 @@
         val amount = Amount(grant.requests, grant.tokens)
         counter(workspace).borrowed(amount)
         decide(workspace) { quota, now, environment -> quota.granted(now, environment, ask.peer, ask.ask, amount) }
+        wake.trySend(Unit)
     }
 
     /** Sends a settlement; a lost one ends the loan a little later on the lender's clock. */
@@ -238,15 +244,15 @@
     private suspend fun tick() {
         var lastFull = clock()
         while (scope.isActive) {
-            delay(TICK_MS)
+            if (shards.workspaces.any(::isBusy)) delay(TICK_MS) else withTimeoutOrNull(FULL_TICK_MS) { wake.receive() }
             val full = clock() - lastFull >= FULL_TICK_MS
             if (full) lastFull = clock()
-            shards.workspaces.forEach { name ->
-                if (full || shards.withQuota(name) { quota, _ -> quota.isBusy } == true) poll(name)
-            }
+            shards.workspaces.forEach { name -> if (full || isBusy(name)) poll(name) }
         }
     }
 
+    private fun isBusy(workspace: String): Boolean = shards.withQuota(workspace) { quota, _ -> quota.isBusy } == true
+
     private fun state(
         workspace: String,
         quota: WorkspaceQuota,
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/EngineControl.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/EngineControl.kt
@@ -33,7 +33,7 @@
 ) {
     private val scope = CoroutineScope(env.scope.coroutineContext + SupervisorJob(env.scope.coroutineContext[Job]))
     private val asking = ConcurrentHashMap.newKeySet<String>()
-    private val kicks = Channel<Unit>(Channel.CONFLATED)
+    private val wakeUps = Channel<Unit>(Channel.CONFLATED)
     private val orderTimeoutMs = env.settings.idleTimeoutMs.toLong()
 
     fun start() {
@@ -43,7 +43,7 @@
 
     /** Looks for loads to start without waiting for the next tick. */
     fun kick() {
-        kicks.trySend(Unit)
+        wakeUps.trySend(Unit)
     }
 
     fun stop() = scope.cancel()
@@ -91,7 +91,7 @@
 
     private suspend fun loadLoop() {
         while (scope.isActive) {
-            withTimeoutOrNull(TICK_MS) { kicks.receive() }
+            withTimeoutOrNull(TICK_MS) { wakeUps.receive() }
             target.expire(env.now())
             target
                 .wantedLoads(asking)
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/ModelDispatcher.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/ModelDispatcher.kt
@@ -58,12 +58,12 @@
 
     override fun run(request: Dispatch): Flow<DispatchEvent> = flow {
         budget.request(request.workspace)
-        val end = Course(request, AnswerSession { emit(it) }).run()
+        val end = RequestAttempts(request, AnswerSession { emit(it) }).run()
         emit(DispatchEvent.End(end))
     }
 
     /** The attempts of one request. */
-    private inner class Course(
+    private inner class RequestAttempts(
         private val request: Dispatch,
         private val session: AnswerSession,
     ) {
