Keep callers' addresses while instances are replaced

The load tool dropped every address of a model when the first one failed and then asked only its seeds, which had all been replaced. The failure came because an instance closed its port within the time of an address answer: it counted that time from the signal, while the other members went on giving out its address until they had the roster that shows it as leaving.

Ruled out: lost or broken-off answers (all 36 are refused connections) and the new instances (the other three adapters went on without a failure).

Change: the address book keeps the other addresses of an answer and those of the newest answer for any model. An instance that shuts down waits until all members know that it leaves before the time of the address answers begins.

--- a/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/load/AddressBook.kt
+++ b/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/load/AddressBook.kt
@@ -19,7 +19,7 @@
     val ttlMs: Long,
 )
 
-/** Keeps address answers by model; [seeds] are asked when nothing is known. */
+/** Keeps address answers by model. Asks the addresses of the last answers first and [seeds] after them. */
 internal class AddressBook(
     private val client: HttpClient,
     private val seeds: List<String>,
@@ -32,23 +32,32 @@
 
     private val kept = ConcurrentHashMap<String, Kept>()
 
+    /** Addresses of the newest answer for any model; they are asked when all seeds have been replaced. */
+    @Volatile
+    private var latest: List<String> = emptyList()
+
     suspend fun addresses(
         model: String,
         key: String,
     ): List<String> {
         val known = kept[model]
         if (known != null && clock() < known.until) return known.addresses
-        for (address in (known?.addresses ?: emptyList()) + seeds.shuffled()) {
+        val places = (known?.addresses.orEmpty() + latest + seeds.shuffled()).distinct()
+        for (address in places) {
             val answer = askOrNull(address, model, key) ?: continue
+            latest = answer.addresses
             kept[model] = Kept(answer.addresses, clock() + answer.ttlMs)
             return answer.addresses
         }
-        return seeds
+        return places
     }
 
-    /** Drops the answer for [model] after its first address failed. */
-    fun forget(model: String) {
-        kept.remove(model)
+    /** Ends the time of the answer for [model] after [address] failed; the other addresses are asked for a new one. */
+    fun forget(
+        model: String,
+        address: String,
+    ) {
+        kept.computeIfPresent(model) { _, known -> Kept(known.addresses - address, clock()) }
     }
 
     private suspend fun askOrNull(
--- a/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/load/LoadGenerator.kt
+++ b/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/load/LoadGenerator.kt
@@ -54,7 +54,7 @@
         for (address in book.addresses(arrival.adapter, key).take(MAX_ADDRESSES)) {
             last = attempt(address, arrival, key, intended) ?: return last
             if (last.end != CallEnd.NotRun) return last
-            book.forget(arrival.adapter)
+            book.forget(arrival.adapter, address)
         }
         return last
     }
--- a/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/cluster/ClusterCore.kt
+++ b/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/cluster/ClusterCore.kt
@@ -351,6 +351,9 @@
 
     fun isLeaving(): Boolean = own()?.state == Member.State.Leaving
 
+    /** Returns whether every other member has a roster that shows this instance as leaving, so that none gives out its address. */
+    fun isLeavingKnown(): Boolean = isLeaving() && book.allConfirmed(roster, self, roster.revision)
+
     fun drain(
         resource: Resource,
         pins: Map<String, Int>,
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/cluster/ClusterService.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/cluster/ClusterService.kt
@@ -73,6 +73,9 @@
     /** Moves ownership away. Returns whether all of it, pins included, was gone within [timeoutMs] milliseconds. */
     suspend fun leave(timeoutMs: Long): Boolean
 
+    /** Waits, after [leave] has begun, until all members know that this instance leaves; returns whether they did within [timeoutMs] milliseconds. */
+    suspend fun awaitLeavingKnown(timeoutMs: Long): Boolean
+
     /** Gives up the lease and leaves the roster; returns whether the roster shows it within [timeoutMs] milliseconds. */
     suspend fun depart(timeoutMs: Long): Boolean
 
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/cluster/DrivenCluster.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/cluster/DrivenCluster.kt
@@ -290,6 +290,8 @@
         ) { it.isLeaving() && it.heldResources().isEmpty() && it.stillPinned().isEmpty() && it.releases().isEmpty() }
     }
 
+    override suspend fun awaitLeavingKnown(timeoutMs: Long): Boolean = waitFor(timeoutMs) { it.isLeavingKnown() }
+
     override suspend fun depart(timeoutMs: Long): Boolean {
         driver.changing { _, _ -> core.use { it.depart() } }
         return waitFor(timeoutMs) { !it.isListed() }
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/EntryInstance.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/EntryInstance.kt
@@ -150,12 +150,11 @@
         draining = true
         front.beginClosing()
         val drainMs = settings.http.drainMs.toLong()
+        val addressTtlMs = settings.http.addressTtlMs.toLong()
         val moved = scope.async { cluster.leave(drainMs) }
-        delay(
-            settings.http.addressTtlMs
-                .toLong()
-                .coerceAtMost(drainMs),
-        )
+        // Other members give out this address until they know that it leaves, so the callers' time begins only then.
+        cluster.awaitLeavingKnown(drainMs - addressTtlMs)
+        delay(addressTtlMs.coerceAtMost(drainMs))
         val served = front.drain(drainMs)
         val whole = moved.await() && served
         cluster.depart(DEPART_MS)
