Let the answer under the engine restart run for 8 s

Cause: 'after a restart the running stream ends with an error' failed in a verification on a busy machine (expected Unknown, was Done): the answer had 12 tokens of 4 ms, so it could end before the restart arrived.

Change: that answer now has 2,000 tokens; the check is the same.

--- a/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/target/EngineStandinSpec.kt
+++ b/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/target/EngineStandinSpec.kt
@@ -38,6 +38,9 @@
 
 private const val TOKENS = 12
 
+/** An answer of 8 s, which still runs when a slow machine gets to the restart. */
+private const val LONG_TOKENS = 2_000
+
 private class StandinFixture(
     scope: CoroutineScope,
     fencing: Boolean,
@@ -69,8 +72,9 @@
     id: String,
     from: Int = 0,
     stream: Boolean = true,
+    tokens: Int = TOKENS,
 ): Dispatch {
-    val body = """{"model":"$adapter","prompt":"p-$id","max_tokens":$TOKENS,"stream":$stream}""".encodeToByteArray()
+    val body = """{"model":"$adapter","prompt":"p-$id","max_tokens":$tokens,"stream":$stream}""".encodeToByteArray()
     return Dispatch(id, "t1", "w", 1.0, adapter, "1", "/weights/$adapter", "/v1/completions", body, stream, 20_000, from)
 }
 
@@ -143,7 +147,7 @@
         test("after a restart the running stream ends with an error and the next request is served").config(invocations = 20) {
             fixture(true) { fixture ->
                 coroutineScope {
-                    val running = async { answerOf(fixture.owner.run(request("a", "r1"))) }
+                    val running = async { answerOf(fixture.owner.run(request("a", "r1", tokens = LONG_TOKENS))) }
                     until("running request") { fixture.owner.stateOrNull("t1")!!.running == 1 }
                     delay(15)
                     fixture.control("""{"action":"restart"}""")
