Move the fleet harness into skylarkstile-bench

Cause: the load tool must start a fleet itself, and the code for it stood in the test module.

Change: Fleet, FleetTarget, ChildProcess, EntryInstance, EntryAddresses, entryDefaults, writeSettings, Control, Records, BASE_MODEL and freeAddress are public in io.skylarkstile.bench.fleet. Fleet has a further last parameter `directory`; its default is the former target/harness/<name>-<time>. Ask, Caller, Reply, StreamReader and jsonOrNull stay in io.skylarkstile.tests.harness, since they use Kotest and the stand-ins' generation.

Conclusion: no behaviour changed; other modules can start fleets.

--- a/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/harness/ChildProcess.kt
+++ b/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/fleet/ChildProcess.kt
@@ -1,7 +1,7 @@
 /*
- * Processes of a test. Their output is kept under target/, and all of them end with the test JVM at the latest.
+ * Processes of a fleet. Their output is kept in a directory of the fleet, and all of them end with this JVM at the latest.
  */
-package io.skylarkstile.tests.harness
+package io.skylarkstile.bench.fleet
 
 import kotlinx.coroutines.delay
 import java.io.File
@@ -9,7 +9,7 @@
 import java.util.concurrent.TimeUnit
 
 /** A JVM process that can be started, killed, paused and started again with the same arguments. */
-internal class ChildProcess(
+class ChildProcess(
     val name: String,
     private val mainClass: String,
     private val arguments: List<String>,
--- a/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/harness/Control.kt
+++ b/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/fleet/Control.kt
@@ -1,7 +1,7 @@
 /*
  * Control calls to the stand-ins.
  */
-package io.skylarkstile.tests.harness
+package io.skylarkstile.bench.fleet
 
 import com.github.michaelbull.result.getOrThrow
 import io.skylarkstile.schema.recordJson
@@ -15,11 +15,11 @@
 import java.net.URLEncoder
 
 /** Changes the settings and reads the counters of the stand-in at [address]. */
-internal class Control(
+class Control(
     private val client: HttpClient,
     val address: String,
 ) {
-    /** Merges the JSON object [fields] into the settings; a field that the stand-in does not know fails the test. */
+    /** Merges the JSON object [fields] into the settings; a field that the stand-in does not know is an [IllegalStateException]. */
     suspend fun set(fields: String) {
         send("POST", "/control", fields)
     }
@@ -35,7 +35,7 @@
     }
 
     /**
-     * Returns how many received requests contain [text] in their head or body. A test with much traffic calls this once before it:
+     * Returns how many received requests contain [text] in their head or body. Callers with much traffic call this once before it:
      * from then on the stand-in counts the text as requests arrive, and its bounded log may drop them.
      */
     suspend fun receivedWith(text: String): Int {
--- a/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/harness/EntryInstance.kt
+++ b/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/fleet/EntryInstance.kt
@@ -1,12 +1,12 @@
 /*
  * Entry instances and their settings files.
  */
-package io.skylarkstile.tests.harness
+package io.skylarkstile.bench.fleet
 
 import java.io.File
 
 /** Addresses of one entry instance; the advertised ones lead through the proxy where there is one. */
-internal data class EntryAddresses(
+data class EntryAddresses(
     val caller: String,
     val peer: String,
     val admin: String,
@@ -15,14 +15,14 @@
 )
 
 /** One entry instance of a fleet. */
-internal class EntryInstance(
+class EntryInstance(
     val name: String,
     val process: ChildProcess,
     val addresses: EntryAddresses,
 )
 
 /** Returns the settings of an instance, named `section.key`; [earlier] instances are its seeds. */
-internal fun entryDefaults(
+fun entryDefaults(
     name: String,
     dataCentre: String,
     addresses: EntryAddresses,
@@ -42,7 +42,7 @@
 )
 
 /** Writes [settings] as an INI file. */
-internal fun writeSettings(
+fun writeSettings(
     file: File,
     settings: Map<String, String>,
 ) {
--- a/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/harness/Fleet.kt
+++ b/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/fleet/Fleet.kt
@@ -2,7 +2,7 @@
  * A whole system of real processes on loopback: the object API, engines, services, the weight store, entry instances and, when
  * asked for, a fault proxy on each edge between them.
  */
-package io.skylarkstile.tests.harness
+package io.skylarkstile.bench.fleet
 
 import io.skylarkstile.schema.generated.TargetRecord
 import io.skylarkstile.transport.http.httpClient
@@ -18,7 +18,7 @@
 import java.util.concurrent.CopyOnWriteArrayList
 
 /** One target of a fleet; [address] is the one in its record, behind the proxy where there is one. */
-internal class FleetTarget(
+class FleetTarget(
     val name: String,
     val process: ChildProcess,
     val control: Control,
@@ -26,14 +26,17 @@
     val record: TargetRecord,
 )
 
-/** Starts and ends the processes of one test; targets may be started concurrently. [proxied] puts a link of the fault proxy on each edge. */
-internal class Fleet(
+/**
+ * Starts and ends the processes of one test or run; targets may be started concurrently. [proxied] puts a link of the fault proxy on
+ * each edge. Settings files and logs are kept in [directory].
+ */
+class Fleet(
     name: String,
     private val proxied: Boolean = false,
     private val entryNames: List<String> = (1..12).map { "entry-$it" },
+    private val directory: File = File("target/harness/$name-${System.currentTimeMillis()}"),
 ) : AutoCloseable {
     val client = httpClient(connectTimeoutMs = 1_000)
-    private val directory = File("target/harness/$name-${System.currentTimeMillis()}")
     private val children = CopyOnWriteArrayList<ChildProcess>()
     private val listed = mutableListOf<ListedInstance>()
     private val entries = CopyOnWriteArrayList<EntryInstance>()
--- a/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/harness/Ports.kt
+++ b/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/fleet/Ports.kt
@@ -1,8 +1,8 @@
 /*
- * Free loopback addresses for processes that must keep their address over a restart. Each test JVM has a loopback IP of its own, so
- * test runs on the same machine cannot take each other's ports between the check and the bind.
+ * Free loopback addresses for processes that must keep their address over a restart. Each JVM that starts a fleet has a loopback IP of
+ * its own, so runs on the same machine cannot take each other's ports between the check and the bind.
  */
-package io.skylarkstile.tests.harness
+package io.skylarkstile.bench.fleet
 
 import java.io.IOException
 import java.net.InetAddress
@@ -24,7 +24,7 @@
         .let { pid -> "127.${64 + (pid shr 16 and 0x3f)}.${pid shr 8 and 0xff}.${pid and 0xff}" }
 
 /** Returns a loopback address (`ip:port`) that nobody listens on and that was not given out before in this process. */
-internal fun freeAddress(): String {
+fun freeAddress(): String {
     repeat(PORT_COUNT) {
         val port = FIRST_PORT + next.getAndIncrement().mod(PORT_COUNT)
         if (isFree(port)) return "$ip:$port"
--- a/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/harness/Records.kt
+++ b/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/fleet/Records.kt
@@ -1,7 +1,7 @@
 /*
- * Records that tests write directly through the object API.
+ * Records that a fleet writes directly through the object API.
  */
-package io.skylarkstile.tests.harness
+package io.skylarkstile.bench.fleet
 
 import com.github.michaelbull.result.getOrThrow
 import io.skylarkstile.config.key.createKey
@@ -14,11 +14,11 @@
 import io.skylarkstile.schema.recordJson
 import io.skylarkstile.transport.platform.ObjectStore
 
-/** Name of the base model in all tests. */
-internal const val BASE_MODEL = "base-1"
+/** Name of the base model in all fleets. */
+const val BASE_MODEL = "base-1"
 
 /** Writes records without a condition, as an operator's tool would after its checks. */
-internal class Records(
+class Records(
     val store: ObjectStore,
 ) {
     suspend fun workspace(
--- a/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/harness/Caller.kt
+++ b/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/harness/Caller.kt
@@ -6,6 +6,7 @@
 import com.github.michaelbull.result.getOrElse
 import io.kotest.assertions.withClue
 import io.kotest.matchers.shouldBe
+import io.skylarkstile.bench.fleet.Records
 import io.skylarkstile.schema.recordJson
 import io.skylarkstile.standin.engine.Generation
 import io.skylarkstile.transport.http.HttpAnswer
--- a/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/harness/EntryFleetSpec.kt
+++ b/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/harness/EntryFleetSpec.kt
@@ -7,6 +7,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
+import io.skylarkstile.bench.fleet.Fleet
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
--- a/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/harness/StandinFleetSpec.kt
+++ b/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/harness/StandinFleetSpec.kt
@@ -8,6 +8,9 @@
 import io.kotest.matchers.doubles.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.shouldNotBe
+import io.skylarkstile.bench.fleet.Fleet
+import io.skylarkstile.bench.fleet.FleetTarget
+import io.skylarkstile.bench.fleet.Records
 import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 
--- a/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/proof/AdapterVersionProofSpec.kt
+++ b/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/proof/AdapterVersionProofSpec.kt
@@ -9,11 +9,11 @@
 import io.kotest.matchers.collections.shouldBeIn
 import io.kotest.matchers.comparables.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
+import io.skylarkstile.bench.fleet.BASE_MODEL
+import io.skylarkstile.bench.fleet.Fleet
 import io.skylarkstile.schema.generated.AdapterRecord
 import io.skylarkstile.tests.harness.Ask
-import io.skylarkstile.tests.harness.BASE_MODEL
 import io.skylarkstile.tests.harness.Caller
-import io.skylarkstile.tests.harness.Fleet
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
--- a/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/proof/ConfigurationProofSpec.kt
+++ b/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/proof/ConfigurationProofSpec.kt
@@ -12,9 +12,9 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
-import io.skylarkstile.tests.harness.ChildProcess
-import io.skylarkstile.tests.harness.EntryInstance
-import io.skylarkstile.tests.harness.Fleet
+import io.skylarkstile.bench.fleet.ChildProcess
+import io.skylarkstile.bench.fleet.EntryInstance
+import io.skylarkstile.bench.fleet.Fleet
 import io.skylarkstile.transport.platform.StoreError
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
--- a/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/proof/KeySecrecyProofSpec.kt
+++ b/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/proof/KeySecrecyProofSpec.kt
@@ -9,9 +9,9 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldNotContain
+import io.skylarkstile.bench.fleet.Fleet
 import io.skylarkstile.tests.harness.Ask
 import io.skylarkstile.tests.harness.Caller
-import io.skylarkstile.tests.harness.Fleet
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
--- a/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/proof/LeavingTargetProofSpec.kt
+++ b/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/proof/LeavingTargetProofSpec.kt
@@ -8,10 +8,10 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.comparables.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
+import io.skylarkstile.bench.fleet.Fleet
+import io.skylarkstile.bench.fleet.FleetTarget
 import io.skylarkstile.tests.harness.Ask
 import io.skylarkstile.tests.harness.Caller
-import io.skylarkstile.tests.harness.Fleet
-import io.skylarkstile.tests.harness.FleetTarget
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
--- a/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/proof/ProofFleet.kt
+++ b/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/proof/ProofFleet.kt
@@ -3,9 +3,9 @@
  */
 package io.skylarkstile.tests.proof
 
+import io.skylarkstile.bench.fleet.EntryInstance
+import io.skylarkstile.bench.fleet.Fleet
 import io.skylarkstile.tests.harness.Caller
-import io.skylarkstile.tests.harness.EntryInstance
-import io.skylarkstile.tests.harness.Fleet
 import io.skylarkstile.tests.harness.jsonOrNull
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
--- a/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/proof/ProofTraffic.kt
+++ b/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/proof/ProofTraffic.kt
@@ -5,10 +5,10 @@
 
 import io.kotest.assertions.withClue
 import io.kotest.matchers.nulls.shouldNotBeNull
+import io.skylarkstile.bench.fleet.EntryInstance
+import io.skylarkstile.bench.fleet.Fleet
 import io.skylarkstile.tests.harness.Ask
 import io.skylarkstile.tests.harness.Caller
-import io.skylarkstile.tests.harness.EntryInstance
-import io.skylarkstile.tests.harness.Fleet
 import io.skylarkstile.tests.harness.Reply
 import kotlinx.coroutines.delay
 import kotlin.random.Random
--- a/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/proof/QuotaProofSpec.kt
+++ b/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/proof/QuotaProofSpec.kt
@@ -8,10 +8,10 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.doubles.shouldBeLessThanOrEqual
 import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.skylarkstile.bench.fleet.EntryInstance
+import io.skylarkstile.bench.fleet.Fleet
 import io.skylarkstile.tests.harness.Ask
 import io.skylarkstile.tests.harness.Caller
-import io.skylarkstile.tests.harness.EntryInstance
-import io.skylarkstile.tests.harness.Fleet
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
--- a/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/proof/ReplacementProofSpec.kt
+++ b/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/proof/ReplacementProofSpec.kt
@@ -9,13 +9,13 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
+import io.skylarkstile.bench.fleet.Fleet
 import io.skylarkstile.bench.load.CallEnd
 import io.skylarkstile.bench.load.LoadGenerator
 import io.skylarkstile.bench.trace.Arrival
 import io.skylarkstile.bench.trace.Scenario
 import io.skylarkstile.bench.trace.Trace
 import io.skylarkstile.bench.trace.profiles
-import io.skylarkstile.tests.harness.Fleet
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
--- a/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/proof/WholeAnswerProofSpec.kt
+++ b/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/proof/WholeAnswerProofSpec.kt
@@ -10,9 +10,9 @@
 import io.kotest.matchers.comparables.shouldBeGreaterThan
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
+import io.skylarkstile.bench.fleet.Fleet
 import io.skylarkstile.tests.harness.Ask
 import io.skylarkstile.tests.harness.Caller
-import io.skylarkstile.tests.harness.Fleet
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
--- a/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/proof/WithdrawnKeyProofSpec.kt
+++ b/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/proof/WithdrawnKeyProofSpec.kt
@@ -8,8 +8,8 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
+import io.skylarkstile.bench.fleet.EntryInstance
 import io.skylarkstile.tests.harness.Ask
-import io.skylarkstile.tests.harness.EntryInstance
 import io.skylarkstile.tests.harness.Reply
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
