Judge the least busy service replica from all calls of an instance

Cause: ServiceCalls and HttpServiceCaller each chose a replica with a busy count of its own, so a long direct call was not seen by a call through the ledger, and the other way round; both went to the same busy replica.

The new test in ServiceCallsSpec checks both directions.

Conclusion: a replica that is busy with calls of one kind is avoided by calls of the other kind.

--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/ServiceCalls.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/ServiceCalls.kt
@@ -8,6 +8,7 @@
 import io.skylarkstile.core.limit.Admission
 import io.skylarkstile.core.limit.AdmissionLimiter
 import io.skylarkstile.core.snapshot.Snapshot
+import io.skylarkstile.entry.target.ServiceReplicas
 import io.skylarkstile.schema.generated.LedgerAnswer
 import io.skylarkstile.schema.generated.LedgerCall
 import io.skylarkstile.schema.generated.RouteRecord
@@ -24,18 +25,16 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.selects.select
 import java.util.UUID
-import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.atomic.AtomicInteger
 
 /** Settings of [ServiceCalls]; times in milliseconds. */
 internal data class ServiceCallSettings(
-    val dataCentre: String,
     val idleTimeoutMs: Long,
     val requestTimeoutMs: Long,
 )
 
 internal class ServiceCalls(
     private val client: HttpClient,
+    private val replicas: ServiceReplicas,
     private val limiter: AdmissionLimiter,
     private val ledger: LedgerRunner,
     private val running: RunningCalls,
@@ -43,8 +42,6 @@
     private val settings: ServiceCallSettings,
     private val clock: () -> Long,
 ) {
-    private val busy = ConcurrentHashMap<String, AtomicInteger>()
-
     suspend fun answer(
         request: HttpRequest,
         ids: RequestIds,
@@ -81,7 +78,7 @@
             try {
                 endedBy(call, ids) {
                     if (idempotent) {
-                        repeatable(request, path, ids, route, snapshot, admitted)
+                        repeatable(request, path, ids, route, admitted)
                     } else {
                         once(request, path, ids, caller, name, route, key, admitted)
                     }
@@ -118,12 +115,11 @@
         path: String,
         ids: RequestIds,
         route: RouteRecord,
-        snapshot: Snapshot,
         admitted: Admission.Admitted,
     ): HttpAnswer {
         val forwarded = HttpRequest(request.method, path, headers = forwardedHeaders(request, ids), body = request.body, rawUri = path)
         var last: HttpAnswer? = null
-        for (target in replicas(snapshot, route).take(MAX_ATTEMPTS)) {
+        for (target in replicas.of(route.service.orEmpty()).take(MAX_ATTEMPTS)) {
             val answer = tryOnce(target, forwarded)
             if (answer != null && answer.status < SERVER_ERROR) return answer.also { admitted.settle(0) }
             last = answer ?: last
@@ -135,33 +131,17 @@
     private suspend fun tryOnce(
         target: TargetRecord,
         request: HttpRequest,
-    ): HttpAnswer? {
-        val count = busy.computeIfAbsent(target.address) { AtomicInteger() }
-        count.incrementAndGet()
+    ): HttpAnswer? = replicas.occupy(target) {
         try {
-            return client.call(target.address, request, settings.idleTimeoutMs, idempotent = true).fold(
+            client.call(target.address, request, settings.idleTimeoutMs, idempotent = true).fold(
                 success = { wholeAnswer(it.status, it.headers["content-type"] ?: "application/octet-stream", it.bytes()) },
                 failure = { null },
             )
         } catch (_: HttpBodyException) {
-            return null
-        } finally {
-            count.decrementAndGet()
+            null
         }
     }
 
-    private fun replicas(
-        snapshot: Snapshot,
-        route: RouteRecord,
-    ): List<TargetRecord> = snapshot.targets
-        .filter { (name, t) ->
-            t.type == TargetRecord.Type.Service &&
-                t.service == route.service &&
-                !t.draining &&
-                name !in snapshot.leavingTargets
-        }.values
-        .sortedWith(compareBy({ busy[it.address]?.get() ?: 0 }, { it.dataCentre != settings.dataCentre }, { it.address }))
-
     private suspend fun once(
         request: HttpRequest,
         path: String,
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/ledger/ServiceCaller.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/ledger/ServiceCaller.kt
@@ -5,7 +5,7 @@
 
 import com.github.michaelbull.result.fold
 import io.skylarkstile.core.ledger.RunResult
-import io.skylarkstile.core.snapshot.SnapshotSource
+import io.skylarkstile.entry.target.ServiceReplicas
 import io.skylarkstile.schema.generated.LedgerCall
 import io.skylarkstile.schema.generated.TargetRecord
 import io.skylarkstile.transport.http.HttpAnswer
@@ -16,9 +16,7 @@
 import io.skylarkstile.transport.http.bytes
 import io.skylarkstile.transport.http.headersOf
 import kotlinx.coroutines.withTimeoutOrNull
-import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicBoolean
-import java.util.concurrent.atomic.AtomicInteger
 
 /** Makes calls of services. */
 fun interface ServiceCaller {
@@ -30,22 +28,18 @@
     ): RunResult
 }
 
-/** Creates a [ServiceCaller] that calls replicas over HTTP, those of [dataCentre] first among equally busy ones. */
+/** Creates a [ServiceCaller] that calls the least busy of [replicas] over HTTP. */
 fun httpServiceCaller(
     client: HttpClient,
-    snapshots: SnapshotSource,
-    dataCentre: String,
+    replicas: ServiceReplicas,
     idleTimeoutMs: Long,
-): ServiceCaller = HttpServiceCaller(client, snapshots, dataCentre, idleTimeoutMs)
+): ServiceCaller = HttpServiceCaller(client, replicas, idleTimeoutMs)
 
 internal class HttpServiceCaller(
     private val client: HttpClient,
-    private val snapshots: SnapshotSource,
-    private val dataCentre: String,
+    private val replicas: ServiceReplicas,
     private val idleTimeoutMs: Long,
 ) : ServiceCaller {
-    private val busy = ConcurrentHashMap<String, AtomicInteger>()
-
     override suspend fun run(
         call: LedgerCall,
         timeoutMs: Long,
@@ -63,7 +57,7 @@
         maySend: () -> Boolean,
     ): RunResult {
         var last = RunResult.NotSent("there is no replica of service '${call.service}'")
-        for (target in replicas(call.service).take(MAX_REPLICAS)) {
+        for (target in replicas.of(call.service).take(MAX_REPLICAS)) {
             val result = tryOne(target, call, maySend)
             if (result !is RunResult.NotSent) return result
             last = result
@@ -75,17 +69,11 @@
         target: TargetRecord,
         call: LedgerCall,
         maySend: () -> Boolean,
-    ): RunResult {
-        val count = busy.computeIfAbsent(target.address) { AtomicInteger() }
-        count.incrementAndGet()
-        try {
-            return client.call(target.address, request(call), idleTimeoutMs, beforeSend = maySend).fold(
-                success = { answered(it) },
-                failure = { if (it is HttpFailure.NotSent) RunResult.NotSent(it.detail) else RunResult.NoAnswer(it.detail) },
-            )
-        } finally {
-            count.decrementAndGet()
-        }
+    ): RunResult = replicas.occupy(target) {
+        client.call(target.address, request(call), idleTimeoutMs, beforeSend = maySend).fold(
+            success = { answered(it) },
+            failure = { if (it is HttpFailure.NotSent) RunResult.NotSent(it.detail) else RunResult.NoAnswer(it.detail) },
+        )
     }
 
     private suspend fun answered(answer: HttpAnswer): RunResult = try {
@@ -101,19 +89,6 @@
         return HttpRequest(call.method, call.path.substringBefore('?'), headers = headers, body = call.body, rawUri = call.path)
     }
 
-    private fun replicas(service: String): List<TargetRecord> {
-        val snapshot = snapshots.current()
-        return snapshot.targets
-            .filter { (name, target) -> isUsable(target, service) && name !in snapshot.leavingTargets }
-            .values
-            .sortedWith(compareBy({ busy[it.address]?.get() ?: 0 }, { it.dataCentre != dataCentre }, { it.address }))
-    }
-
-    private fun isUsable(
-        target: TargetRecord,
-        service: String,
-    ) = target.type == TargetRecord.Type.Service && target.service == service && !target.draining
-
     private companion object {
         const val MAX_REPLICAS = 3
 
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/EntryInstance.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/EntryInstance.kt
@@ -33,6 +33,7 @@
 import io.skylarkstile.entry.snapshot.SnapshotSurroundings
 import io.skylarkstile.entry.snapshot.SnapshotSync
 import io.skylarkstile.entry.snapshot.snapshotSync
+import io.skylarkstile.entry.target.ServiceReplicas
 import io.skylarkstile.entry.target.TargetPartSettings
 import io.skylarkstile.entry.target.targetPart
 import io.skylarkstile.schema.generated.EntrySettings
@@ -106,12 +107,13 @@
             scope,
             ::monotonicMs,
         )
+    private val replicas = ServiceReplicas(snapshots, settings.instance.dataCentre)
     private val ledger =
         ledgerPart(
             cluster,
             network,
             store,
-            httpServiceCaller(http, snapshots, settings.instance.dataCentre, settings.target.idleTimeoutMs.toLong()),
+            httpServiceCaller(http, replicas, settings.target.idleTimeoutMs.toLong()),
             LedgerPartSettings(settings.ledger, sendMarginMs()),
             scope,
             ::monotonicMs,
@@ -226,8 +228,9 @@
         val timeoutMs = settings.target.requestTimeoutMs.toLong()
         val callSettings = ModelCallSettings(settings.quota.defaultMaxTokens, timeoutMs)
         val models = ModelCalls(limiter, targets.dispatcher, running, metrics, callSettings, ::monotonicMs)
-        val serviceSettings = ServiceCallSettings(settings.instance.dataCentre, settings.target.idleTimeoutMs.toLong(), timeoutMs)
-        val services = ServiceCalls(http, limiter, LedgerRunner(ledger.calls::call), running, metrics, serviceSettings, ::monotonicMs)
+        val serviceSettings = ServiceCallSettings(settings.target.idleTimeoutMs.toLong(), timeoutMs)
+        val services =
+            ServiceCalls(http, replicas, limiter, LedgerRunner(ledger.calls::call), running, metrics, serviceSettings, ::monotonicMs)
         val verifier = KeyVerifier { s, key -> checkKeyOrNull(key, s.keys)?.id }
         return Front(snapshots, verifier, cluster, targets.dispatcher, models, services, settings.http.addressTtlMs, ::cannotServeOrNull)
     }
--- a/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/front/ServiceCallsSpec.kt
+++ b/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/front/ServiceCallsSpec.kt
@@ -10,13 +10,21 @@
 import io.skylarkstile.core.limit.Admission
 import io.skylarkstile.core.limit.AdmissionLimiter
 import io.skylarkstile.core.snapshot.Snapshot
+import io.skylarkstile.entry.ledger.FakeClient
+import io.skylarkstile.entry.ledger.httpServiceCaller
+import io.skylarkstile.entry.ledger.serviceTarget
+import io.skylarkstile.entry.limit.FixedSnapshots
+import io.skylarkstile.entry.target.ServiceReplicas
 import io.skylarkstile.schema.generated.KeyRecord
+import io.skylarkstile.schema.generated.LedgerCall
 import io.skylarkstile.schema.generated.RouteRecord
 import io.skylarkstile.schema.generated.WorkspaceRecord
+import io.skylarkstile.transport.http.HttpClient
 import io.skylarkstile.transport.http.HttpRequest
 import io.skylarkstile.transport.http.bytes
 import io.skylarkstile.transport.http.httpClient
 import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlin.time.Duration.Companion.seconds
@@ -43,12 +51,25 @@
                 }
             }
 
+        fun calls(
+            client: HttpClient,
+            replicas: ServiceReplicas,
+            running: RunningCalls = RunningCalls(),
+            ledger: LedgerRunner = LedgerRunner { awaitCancellation() },
+        ) = ServiceCalls(
+            client,
+            replicas,
+            limiter,
+            ledger,
+            running,
+            FrontMetrics(PrometheusRegistry()),
+            ServiceCallSettings(1_000, 10_000),
+        ) { 0 }
+
         test("a withdrawn key ends a running call of a service, which may have run").config(timeout = 5.seconds) {
             httpClient(500).use { client ->
                 val running = RunningCalls()
-                val settings = ServiceCallSettings("dc1", 1_000, 10_000)
-                val calls =
-                    ServiceCalls(client, limiter, { awaitCancellation() }, running, FrontMetrics(PrometheusRegistry()), settings) { 0 }
+                val calls = calls(client, ServiceReplicas(FixedSnapshots(snapshot), "dc1"), running)
                 launch {
                     while (running.count == 0) delay(5)
                     running.endWithdrawn(snapshot.copy(keys = emptyMap())) shouldBe 1
@@ -60,4 +81,32 @@
                 settled shouldBe 1
             }
         }
+
+        // Guards against busy counts of each path alone, with which both paths send to the replica that the other one keeps busy.
+        test("direct calls and calls of the ledger see each other's load of a replica").config(timeout = 5.seconds) {
+            val targets = mapOf("near" to serviceTarget("near:1", "dc1"), "away" to serviceTarget("away:1", "dc2"))
+            val client = FakeClient().apply { silent += "near:1" }
+            val replicas = ServiceReplicas(FixedSnapshots(Snapshot(targets = targets)), "dc1")
+            val calls = calls(client, replicas)
+            val ledger = httpServiceCaller(client, replicas, 1_000)
+            val read = HttpRequest("GET", "/svc/registry/x")
+            val registration = LedgerCall("r", "glass", "registry", "svc", "key", "POST", "/x", "text/plain", ByteArray(0), 1_000)
+            val known = snapshot.copy(routes = snapshot.routes.mapValues { it.value.copy(service = "svc") })
+
+            suspend fun FakeClient.untilSent(count: Int) {
+                while (sent.size < count) delay(5)
+            }
+
+            val direct = launch { calls.answer(read, ids, Caller.Known("k1", "glass"), known) }
+            client.untilSent(1)
+            ledger.run(registration, 1_000) { true }
+            client.sent.map { it.first } shouldBe listOf("near:1", "away:1")
+            direct.cancelAndJoin()
+
+            val recorded = launch { ledger.run(registration, 10_000) { true } }
+            client.untilSent(3)
+            calls.answer(read, ids, Caller.Known("k1", "glass"), known).status shouldBe 201
+            client.sent.map { it.first }.drop(2) shouldBe listOf("near:1", "away:1")
+            recorded.cancelAndJoin()
+        }
     })
--- a/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/ledger/HttpServiceCallerSpec.kt
+++ b/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/ledger/HttpServiceCallerSpec.kt
@@ -1,52 +1,14 @@
 package io.skylarkstile.entry.ledger
 
-import com.github.michaelbull.result.Err
-import com.github.michaelbull.result.Ok
-import com.github.michaelbull.result.Result
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import io.skylarkstile.core.ledger.RunResult
 import io.skylarkstile.core.snapshot.Snapshot
 import io.skylarkstile.entry.limit.FixedSnapshots
+import io.skylarkstile.entry.target.ServiceReplicas
 import io.skylarkstile.schema.generated.LedgerCall
-import io.skylarkstile.schema.generated.TargetRecord
-import io.skylarkstile.transport.http.HttpAnswer
 import io.skylarkstile.transport.http.HttpClient
-import io.skylarkstile.transport.http.HttpFailure
-import io.skylarkstile.transport.http.HttpRequest
-import io.skylarkstile.transport.http.wholeAnswer
-import kotlinx.coroutines.awaitCancellation
-
-/** Answers by address; an address in [refusing] gets no byte, one in [silent] gets the request and never answers. */
-private class FakeClient : HttpClient {
-    val refusing = mutableSetOf<String>()
-    val silent = mutableSetOf<String>()
-    val broken = mutableSetOf<String>()
-    val sent = mutableListOf<Pair<String, HttpRequest>>()
-
-    override suspend fun call(
-        address: String,
-        request: HttpRequest,
-        idleTimeoutMs: Long,
-        idempotent: Boolean,
-        beforeSend: () -> Boolean,
-    ): Result<HttpAnswer, HttpFailure> {
-        if (address in refusing || !beforeSend()) return Err(HttpFailure.NotSent("refused"))
-        sent += address to request
-        if (address in silent) awaitCancellation()
-        if (address in broken) return Err(HttpFailure.NoAnswer("reset"))
-        return Ok(wholeAnswer(201, "text/plain", "ok".toByteArray()))
-    }
-
-    override fun close() = Unit
-}
-
-private fun target(
-    address: String,
-    dataCentre: String,
-    draining: Boolean = false,
-) = TargetRecord(1, TargetRecord.Type.Service, address, dataCentre, draining = draining, service = "svc")
 
 class HttpServiceCallerSpec :
     FunSpec({
@@ -54,16 +16,16 @@
             Snapshot(
                 targets =
                     mapOf(
-                        "away" to target("away:1", "other"),
-                        "draining" to target("draining:1", "here", draining = true),
-                        "leaving" to target("leaving:1", "here"),
-                        "near" to target("near:1", "here"),
+                        "away" to serviceTarget("away:1", "other"),
+                        "draining" to serviceTarget("draining:1", "here", draining = true),
+                        "leaving" to serviceTarget("leaving:1", "here"),
+                        "near" to serviceTarget("near:1", "here"),
                     ),
                 leavingTargets = setOf("leaving"),
             )
         val call = LedgerCall("r", "w", "route", "svc", "key", "POST", "/x?a=1", "text/plain", ByteArray(0), 1_000, "trace")
 
-        fun caller(client: HttpClient) = httpServiceCaller(client, FixedSnapshots(snapshot), "here", 1_000)
+        fun caller(client: HttpClient) = httpServiceCaller(client, ServiceReplicas(FixedSnapshots(snapshot), "here"), 1_000)
 
         test("a call goes to a live replica of the same data centre with the idempotency key and no other caller field") {
             val client = FakeClient()
