Make the routing policy selectable

Change: interface RoutingPolicy with four implementations; setting target.policy (ours, random, least-loaded, hash), default ours; the dump names the policy. PolicySimulationSpec uses these implementations. Least-loaded breaks ties at random instead of by list order. Conclusion: behaviour with the default is unchanged.

--- a/skylarkstile-core/src/test/kotlin/io/skylarkstile/core/placement/PlacementSpec.kt
+++ b/skylarkstile-core/src/test/kotlin/io/skylarkstile/core/placement/PlacementSpec.kt
@@ -7,6 +7,7 @@
 import io.kotest.matchers.comparables.shouldBeLessThan
 import io.kotest.matchers.doubles.plusOrMinus
 import io.kotest.matchers.shouldBe
+import io.skylarkstile.schema.generated.TargetSettings.Policy
 
 private val costs = PlacementCosts(requestMs = 1_000.0, loadMs = 500.0)
 
@@ -47,6 +48,18 @@
             rankTargets("a@1", listOf(view("t1"), view("t2", loaded = true, reachable = false)), costs).first().target shouldBe "t1"
         }
 
+        test("each value of target.policy gives its own order, with unreachable owners last") {
+            val targets = (1..13).map { view("t$it", load = it % 7 + 1, loaded = it == 3, reachable = it != 7) }
+
+            fun orders(choice: Policy) = (1..200).map { n -> routingPolicy(choice).rank("a$n@1", targets, costs).map { it.target } }
+            Policy.entries.forEach { choice -> orders(choice).map { it.last() }.distinct() shouldBe listOf("t7") }
+            orders(Policy.Ours).map { it.first() }.distinct() shouldBe listOf("t3")
+            orders(Policy.LeastLoaded).map { it.first() }.toSet() shouldBe setOf("t1", "t8")
+            orders(Policy.Hash) shouldBe orders(Policy.Hash)
+            orders(Policy.Hash).map { it.first() }.distinct().size shouldBe 12
+            (orders(Policy.Random) == orders(Policy.Random)) shouldBe false
+        }
+
         test("homes spread evenly, do not depend on the order of targets, and avoid busy targets") {
             val targets = (1..13).map { view("t$it") }
             val homes = (1..3_000).groupingBy { rankTargets("a$it@1", targets, costs).first().target }.eachCount()
--- a/skylarkstile-core/src/test/kotlin/io/skylarkstile/core/placement/PolicySimulationSpec.kt
+++ b/skylarkstile-core/src/test/kotlin/io/skylarkstile/core/placement/PolicySimulationSpec.kt
@@ -6,6 +6,7 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.doubles.shouldBeLessThan
+import io.skylarkstile.schema.generated.TargetSettings.Policy
 import java.util.PriorityQueue
 import kotlin.math.ln
 import kotlin.math.pow
@@ -23,8 +24,6 @@
 private const val RUN_MS = 1_000L
 private const val LOAD_MS = 250L
 
-private enum class Policy { Ours, Random, LeastLoaded, Hash }
-
 private class Engine(
     val name: String,
 ) {
@@ -40,7 +39,7 @@
     seed: Long,
 ) {
     private val random = Random(seed)
-    private val choice = Random(seed + 1)
+    private val routing = routingPolicy(policy, Random(seed + 1))
     private val engines = (1..ENGINES).map { Engine("t$it") }
     private val ends = PriorityQueue<Triple<Long, Engine, Int>>(compareBy { it.first })
     private val rank = IntArray(ADAPTERS) { it }
@@ -89,16 +88,9 @@
         ended.second.pins.compute(ended.third) { _, count -> (count!! - 1).takeIf { it > 0 } }
     }
 
-    private fun target(adapter: Int): Engine = when (policy) {
-        Policy.Ours -> ranked(adapter)
-        Policy.Random -> engines.random(choice)
-        Policy.LeastLoaded -> engines.minBy { it.load }
-        Policy.Hash -> engines.maxBy { rendezvousScore("$adapter", it.name) }
-    }
-
-    private fun ranked(adapter: Int): Engine {
+    private fun target(adapter: Int): Engine {
         val views = engines.map { view(it, adapter) }
-        val best = rankTargets("$adapter", views, PlacementCosts(RUN_MS.toDouble(), 500.0)).first()
+        val best = routing.rank("$adapter", views, PlacementCosts(RUN_MS.toDouble(), 500.0)).first()
         return engines.first { it.name == best.target }
     }
 
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/Router.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/Router.kt
@@ -8,8 +8,8 @@
 import io.skylarkstile.core.cluster.targetResource
 import io.skylarkstile.core.placement.PlacementCosts
 import io.skylarkstile.core.placement.RankedTarget
+import io.skylarkstile.core.placement.RoutingPolicy
 import io.skylarkstile.core.placement.TargetView
-import io.skylarkstile.core.placement.rankTargets
 import io.skylarkstile.core.snapshot.Snapshot
 import io.skylarkstile.core.snapshot.SnapshotSource
 import io.skylarkstile.schema.generated.TargetRecord
@@ -69,6 +69,7 @@
     private val cluster: ClusterView,
     private val snapshots: SnapshotSource,
     private val network: PeerNetwork,
+    private val policy: RoutingPolicy,
     private val now: () -> Long,
 ) : Router {
     private class Seen(
@@ -129,7 +130,7 @@
                     owner == cluster.self || owner in connected,
                 )
             }
-        return rankTargets(model, views, PlacementCosts(requestMs, LOAD_COST_MS)).map { candidate(it, owners.getValue(it.target)) }
+        return policy.rank(model, views, PlacementCosts(requestMs, LOAD_COST_MS)).map { candidate(it, owners.getValue(it.target)) }
     }
 
     private fun candidate(
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/TargetPart.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/TargetPart.kt
@@ -6,6 +6,7 @@
 import io.skylarkstile.core.cluster.ClusterView
 import io.skylarkstile.core.cluster.ResourceHolder
 import io.skylarkstile.core.load.LoadLimits
+import io.skylarkstile.core.placement.routingPolicy
 import io.skylarkstile.core.retry.RetryBudget
 import io.skylarkstile.core.snapshot.SnapshotSource
 import io.skylarkstile.schema.generated.LoadSettings
@@ -30,6 +31,7 @@
     val router: List<RouterDump>,
     val loadBudget: LoadBudgetDump,
     val retriesLeft: Map<String, Double>,
+    val policy: String,
 )
 
 /** Runs model requests and owns engine targets. [owner] and [loadBudget] are to be given to the membership as resource holders. */
@@ -56,7 +58,8 @@
     val load = settings.load
     val limits = LoadLimits(load.loadsPerSecond, load.loadsAtOnce, load.adaptersInFlight, settings.target.loadTimeoutMs.toLong())
     val loadBudget = LoadBudget(cluster, network, limits, now)
-    val router = StateRouter(cluster, snapshots, network, now)
+    val policy = routingPolicy(settings.target.policy)
+    val router = StateRouter(cluster, snapshots, network, policy, now)
     val broadcast = StateBroadcast(cluster, network, router::accept, now)
     val env = TargetEnv(cluster, http, loadBudget, settings.target, settings.sendMarginMs, scope, now)
     val owner = targetOwner(snapshots, env, broadcast::changed)
@@ -64,6 +67,6 @@
     val dispatcher = RetryingDispatcher(cluster.self, router, owner, network, budget, now)
     scope.launch { broadcast.run(owner) }
     return TargetPart(owner, loadBudget, router, dispatcher) {
-        TargetPartDump(owner.dump(), router.dump(now()), loadBudget.dump(), budget.dump())
+        TargetPartDump(owner.dump(), router.dump(now()), loadBudget.dump(), budget.dump(), policy.name)
     }
 }
