Remove the messages OwnerAsk and OwnerReply

Cause: owners are found from the roster, so only the tests of the links used these messages; instances still accepted the call.

Conclusion: a call of the removed kind closes its link like any unknown kind.

--- a/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/peer/MessageKinds.kt
+++ b/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/peer/MessageKinds.kt
@@ -18,8 +18,6 @@
 import io.skylarkstile.schema.generated.LoadAsk
 import io.skylarkstile.schema.generated.LoadDone
 import io.skylarkstile.schema.generated.LoadGrant
-import io.skylarkstile.schema.generated.OwnerAsk
-import io.skylarkstile.schema.generated.OwnerReply
 import io.skylarkstile.schema.generated.Ping
 import io.skylarkstile.schema.generated.QuotaAsk
 import io.skylarkstile.schema.generated.QuotaGrant
@@ -45,8 +43,6 @@
     val rosterReply = MessageKind("RosterReply", RosterReply.serializer())
     val release = MessageKind("Release", Release.serializer())
     val releaseReply = MessageKind("ReleaseReply", ReleaseReply.serializer())
-    val ownerAsk = MessageKind("OwnerAsk", OwnerAsk.serializer())
-    val ownerReply = MessageKind("OwnerReply", OwnerReply.serializer())
     val snapshotPull = MessageKind("SnapshotPull", SnapshotPull.serializer())
     val snapshotPush = MessageKind("SnapshotPush", SnapshotPush.serializer())
     val quotaAsk = MessageKind("QuotaAsk", QuotaAsk.serializer())
@@ -72,7 +68,6 @@
             consentRequest,
             rosterAsk,
             release,
-            ownerAsk,
             snapshotPull,
             quotaAsk,
             loadAsk,
--- a/skylarkstile-transport/src/test/kotlin/io/skylarkstile/transport/peer/PeerLinkSpec.kt
+++ b/skylarkstile-transport/src/test/kotlin/io/skylarkstile/transport/peer/PeerLinkSpec.kt
@@ -13,8 +13,8 @@
 import io.skylarkstile.schema.generated.Dispatch
 import io.skylarkstile.schema.generated.DispatchEnd
 import io.skylarkstile.schema.generated.Hello
-import io.skylarkstile.schema.generated.OwnerAsk
-import io.skylarkstile.schema.generated.OwnerReply
+import io.skylarkstile.schema.generated.Release
+import io.skylarkstile.schema.generated.ReleaseReply
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
@@ -50,11 +50,11 @@
 
 private val done = DispatchEvent.End(DispatchEnd(outcome = DispatchEnd.Outcome.Done))
 
-private suspend fun PeerNetwork.ask(to: String) =
-    call(to, MessageKinds.ownerAsk, OwnerAsk(resource = "x", rosterRevision = 1), MessageKinds.ownerReply, 2_000)
+private fun releaseOf(resource: String) = Release(rosterRevision = 1, resource = resource, pins = emptyList())
 
-private fun PeerNetwork.serveAsks() =
-    answer(MessageKinds.ownerAsk, MessageKinds.ownerReply) { _, _ -> OwnerReply(owns = true, rosterRevision = 2) }
+private suspend fun PeerNetwork.ask(to: String) = call(to, MessageKinds.release, releaseOf("x"), MessageKinds.releaseReply, 2_000)
+
+private fun PeerNetwork.serveAsks() = answer(MessageKinds.release, MessageKinds.releaseReply) { _, _ -> ReleaseReply(rosterRevision = 2) }
 
 /** Runs [block] with two linked nodes. */
 private suspend fun linked(
@@ -83,7 +83,7 @@
 
         test("a handler that fails answers with an error and keeps the link") {
             linked { a, b ->
-                b.answer(MessageKinds.ownerAsk, MessageKinds.ownerReply) { _, _ -> error("no such range") }
+                b.answer(MessageKinds.release, MessageKinds.releaseReply) { _, _ -> error("no such range") }
                 val error = a.ask("b").getError()
                 error.shouldBeInstanceOf<PeerError.NoAnswer>().detail shouldContain "no such range"
                 b.serveAsks()
@@ -150,8 +150,8 @@
         test("a message over the limit fails at the sender and keeps the link") {
             linked { a, b ->
                 b.serveAsks()
-                val big = OwnerAsk(resource = "x".repeat(options.maxFrameBytes), rosterRevision = 1)
-                val error = a.call("b", MessageKinds.ownerAsk, big, MessageKinds.ownerReply, 1_000).getError()
+                val big = releaseOf("x".repeat(options.maxFrameBytes))
+                val error = a.call("b", MessageKinds.release, big, MessageKinds.releaseReply, 1_000).getError()
                 error.shouldBeInstanceOf<PeerError.NotSent>()
                 a.ask("b").isOk shouldBe true
             }
@@ -160,12 +160,12 @@
         test("a call of an unknown kind closes the link, a one-way message does not") {
             node("b").use { b ->
                 b.serveAsks()
-                val unknown = MessageKind("Unheard", OwnerAsk.serializer())
-                val ask = OwnerAsk(resource = "x", rosterRevision = 1)
+                val unknown = MessageKind("Unheard", Release.serializer())
+                val ask = releaseOf("x")
                 rawLink(b.address, hello()).use { link ->
                     link.reply()
                     link.write(unknown, 0, ask)
-                    link.write(MessageKinds.ownerAsk, 7, ask)
+                    link.write(MessageKinds.release, 7, ask)
                     link.readMessage().id shouldBe 7
                     link.write(unknown, 8, ask)
                     link.endsWithin(250) shouldBe true
@@ -322,8 +322,8 @@
                 node("a", options = options.copy(queueFrames = 4, heartbeatMs = 1_000)).use { a ->
                     a.setPeers(mapOf("raw" to raw.address))
                     eventually(5.seconds) { a.connected() shouldContain "raw" }
-                    val big = OwnerAsk(resource = "x".repeat(900_000), rosterRevision = 1)
-                    val results = List(40) { a.send("raw", MessageKinds.ownerAsk, big).also { delay(5) } }
+                    val big = releaseOf("x".repeat(900_000))
+                    val results = List(40) { a.send("raw", MessageKinds.release, big).also { delay(5) } }
                     results
                         .last()
                         .getError()
