End all command lines alike on usage errors and help

Cause: skylarkstile-entry, skylarkstile-standin and bench left usage errors to kotlinx-cli, which prints them with the whole usage on standard output and ends with 127. skylarkctl used standard error and 2 with code of its own. No top-level help named the options of subcommands.

Conclusion: scripts can tell usage errors from output and from other exit codes.

--- a/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/main/Main.kt
+++ b/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/main/Main.kt
@@ -4,26 +4,17 @@
  */
 package io.skylarkstile.bench.main
 
+import io.skylarkstile.config.command.endingProcess
+import io.skylarkstile.config.command.parseOrEnd
 import kotlinx.cli.ArgParser
-import kotlinx.cli.ExperimentalCli
 import kotlin.system.exitProcess
 
-private const val EXIT_USAGE = 2
-
-@OptIn(ExperimentalCli::class)
-fun main(args: Array<String>) {
-    val parser = ArgParser("bench")
-    parser.subcommands(RunCommand(), CompareCommand(), PlotCommand(), OverheadCommand())
+fun main(args: Array<String>) = endingProcess("bench") {
+    val commands = listOf(RunCommand(), CompareCommand(), PlotCommand(), OverheadCommand())
     try {
-        parser.parse(args.ifEmpty { arrayOf("--help") })
+        ArgParser("bench").parseOrEnd(args.ifEmpty { arrayOf("--help") }, commands)
     } catch (e: IllegalStateException) {
         System.err.println("bench: ${e.message}")
         exitProcess(1)
     }
 }
-
-/** Ends the process because of wrong arguments. */
-internal fun usage(text: String): Nothing {
-    System.err.println("bench: $text")
-    exitProcess(EXIT_USAGE)
-}
--- a/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/main/ResultCommands.kt
+++ b/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/main/ResultCommands.kt
@@ -9,6 +9,7 @@
 import io.skylarkstile.bench.report.compareRuns
 import io.skylarkstile.bench.report.isPair
 import io.skylarkstile.bench.report.writePlots
+import io.skylarkstile.config.command.usageError
 import io.skylarkstile.transport.http.httpClient
 import kotlinx.cli.ArgType
 import kotlinx.cli.ExperimentalCli
@@ -23,7 +24,7 @@
 
 private fun readSummary(directory: String): Summary {
     val file = Path.of(directory, "summary.json")
-    if (!Files.exists(file)) usage("there is no $file")
+    if (!Files.exists(file)) usageError("there is no $file")
     return Json.decodeFromString(Summary.serializer(), Files.readString(file))
 }
 
@@ -35,7 +36,7 @@
     override fun execute() {
         val a = readSummary(first)
         val b = readSummary(second)
-        if (!isPair(a, b)) usage("the runs differ in profile, scenario, seed or length")
+        if (!isPair(a, b)) usageError("the runs differ in profile, scenario, seed or length")
         compareRuns(a, b).forEach { line ->
             println(
                 "%-28s %12.3f %12.3f %8s".format(
--- a/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/main/RunCommand.kt
+++ b/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/main/RunCommand.kt
@@ -13,6 +13,7 @@
 import io.skylarkstile.bench.trace.leastLoads
 import io.skylarkstile.bench.trace.profiles
 import io.skylarkstile.bench.trace.scenarioOrNull
+import io.skylarkstile.config.command.usageError
 import io.skylarkstile.transport.http.httpClient
 import kotlinx.cli.ArgType
 import kotlinx.cli.ExperimentalCli
@@ -53,8 +54,8 @@
     private val out by option(ArgType.String, "out", description = "Directory of the results").required()
 
     override fun execute() {
-        val sizes = profiles[profile] ?: usage("there is no profile '$profile'; there are ${profiles.keys}")
-        val event = scenarioOrNull(scenario) ?: usage("there is no scenario '$scenario'")
+        val sizes = profiles[profile] ?: usageError("there is no profile '$profile'; there are ${profiles.keys}")
+        val event = scenarioOrNull(scenario) ?: usageError("there is no scenario '$scenario'")
         val trace = generateTrace(sizes, event, seed.toLong(), (minutes * MS_PER_MINUTE).toLong())
         println("profile $profile, scenario $scenario, seed $seed: ${trace.arrivals.size} requests in ${trace.durationMs / 1_000} s")
         val records =
@@ -70,7 +71,7 @@
     }
 
     private fun pairs(text: String): Map<String, String> = text.split(',').associate { pair ->
-        if ('=' !in pair) usage("'--keys' holds a part that is not workspace=key")
+        if ('=' !in pair) usageError("'--keys' holds a part that is not workspace=key")
         pair.substringBefore('=') to pair.substringAfter('=')
     }
 
--- a/skylarkstile-ctl/src/main/kotlin/io/skylarkstile/ctl/command/Command.kt
+++ b/skylarkstile-ctl/src/main/kotlin/io/skylarkstile/ctl/command/Command.kt
@@ -3,6 +3,7 @@
  */
 package io.skylarkstile.ctl.command
 
+import io.skylarkstile.config.command.EXIT_USAGE
 import io.skylarkstile.config.record.RecordId
 import io.skylarkstile.config.record.RecordKind
 import java.nio.file.Path
@@ -14,7 +15,7 @@
 ) {
     OK(0, "done"),
     REFUSED(1, "findings or a conflict; the output names what was written"),
-    USAGE(2, "wrong usage"),
+    USAGE(EXIT_USAGE, "wrong usage"),
     UNAVAILABLE(3, "the platform or an instance gives no answer"),
 }
 
--- a/skylarkstile-ctl/src/main/kotlin/io/skylarkstile/ctl/main/Invocation.kt
+++ b/skylarkstile-ctl/src/main/kotlin/io/skylarkstile/ctl/main/Invocation.kt
@@ -3,6 +3,9 @@
  */
 package io.skylarkstile.ctl.main
 
+import io.skylarkstile.config.command.CommandLineEnd
+import io.skylarkstile.config.command.parseOrEnd
+import io.skylarkstile.config.command.usageError
 import io.skylarkstile.config.record.RecordId
 import io.skylarkstile.config.record.RecordKind
 import io.skylarkstile.config.record.isRecordName
@@ -26,46 +29,22 @@
     val command: Command,
 )
 
-/** Ends parsing: with the help text and code 0, or with a fault and code 2. */
-internal class ParseEnd(
-    override val message: String,
-    val exit: ExitCode,
-) : Exception(message)
-
-/** Parses [args], or throws [ParseEnd]. */
+/** Parses [args], or throws [CommandLineEnd]. */
 internal fun parseCommandLine(args: Array<String>): Invocation {
     val parser = ArgParser("skylarkctl")
     val platform by parser.option(ArgType.String, "platform", "p", "Address of the object API, ip:port")
     val timeoutMs by parser.option(ArgType.Int, "timeout-ms", description = "Time limit of one call in milliseconds (default 3000)")
     val subcommands = subcommands()
-    (listOf(parser) + subcommands).forEach(::endByException)
-    parser.subcommands(*subcommands.toTypedArray())
-    subcommands.forEach(::endByException)
-    parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
-    val command = subcommands.firstNotNullOfOrNull { it.chosen } ?: usage("no command; see --help")
+    parser.parseOrEnd(if (args.isEmpty()) arrayOf("--help") else args, subcommands, exitCodes())
+    val command = subcommands.firstNotNullOfOrNull { it.chosen } ?: usageError("no command; see --help")
     val address = platform
-    if (address == null && command !is Command.Check) usage("option --platform ip:port is missing")
-    if (address != null && !isAddress(address)) usage("--platform: expected ip:port, found '$address'")
+    if (address == null && command !is Command.Check) usageError("option --platform ip:port is missing")
+    if (address != null && !isAddress(address)) usageError("--platform: expected ip:port, found '$address'")
     return Invocation(address, (timeoutMs ?: DEFAULT_TIMEOUT_MS).toLong(), command)
 }
 
 private const val DEFAULT_TIMEOUT_MS = 3_000
 
-private fun usage(problem: String): Nothing = throw ParseEnd(problem, ExitCode.USAGE)
-
-/**
- * Makes [parser] throw instead of printing to standard output and ending the process with 127. kotlinx-cli 0.3.6 has this hook but does not
- * publish it, and offers no other way to choose the exit code.
- */
-private fun endByException(parser: ArgParser) {
-    val end: (String, Int) -> Nothing = { message, code ->
-        if (code == 0) throw ParseEnd("$message\n${exitCodes()}", ExitCode.OK)
-        // The first line is the fault; the rest repeats the whole usage.
-        throw ParseEnd(message.lineSequence().first(), ExitCode.USAGE)
-    }
-    ArgParser::class.java.getMethod("setOutputAndTerminate\$kotlinx_cli", Function2::class.java).invoke(parser, end)
-}
-
 private fun exitCodes(): String = "Exit codes: \n" + ExitCode.entries.joinToString("\n") { "    ${it.code} -> ${it.meaning}" }
 
 @OptIn(ExperimentalCli::class)
@@ -134,7 +113,7 @@
     override fun command() = Command.Change(recordId(kind, record), values.map(::pair), versionOrNull(ifVersion))
 
     private fun pair(text: String): Pair<String, String> {
-        if ('=' !in text) usage("expected key=value, found '$text'")
+        if ('=' !in text) usageError("expected key=value, found '$text'")
         return text.substringBefore('=').trim() to text.substringAfter('=').trim()
     }
 }
@@ -152,7 +131,7 @@
 
     override fun command() = Command.CreateKey(recordId(RecordKind.KEY.label, record).name, workspaceName())
 
-    private fun workspaceName() = workspace.takeIf(::isName) ?: usage("workspace '$workspace' is not a valid name")
+    private fun workspaceName() = workspace.takeIf(::isName) ?: usageError("workspace '$workspace' is not a valid name")
 }
 
 private class DrainChoice : Choice("drain", "Give a target no new work") {
@@ -165,20 +144,25 @@
 private class StatusChoice : Choice("status", "Print the roster, the records by kind, the targets, and the state of instances") {
     private val instances by option(ArgType.String, "instance", "i", "Admin address of an instance, ip:port").multiple()
 
-    override fun command() = Command.Status(instances.onEach { if (!isAddress(it)) usage("--instance: expected ip:port, found '$it'") })
+    override fun command() =
+        Command.Status(instances.onEach { if (!isAddress(it)) usageError("--instance: expected ip:port, found '$it'") })
 }
 
 private fun kindHelp() = "One of ${RecordKind.labels.joinToString()}"
 
-private fun kindOf(label: String): RecordKind = RecordKind.ofLabelOrNull(label) ?: usage("unknown kind '$label'; ${kindHelp().lowercase()}")
+private fun kindOf(label: String): RecordKind =
+    RecordKind.ofLabelOrNull(label) ?: usageError("unknown kind '$label'; ${kindHelp().lowercase()}")
 
 private fun recordId(
     kind: String,
     name: String,
 ): RecordId {
     val id = RecordId(kindOf(kind), name)
-    if (!isRecordName(id.kind, name)) usage("'$name' is not a valid name of a $kind")
+    if (!isRecordName(id.kind, name)) usageError("'$name' is not a valid name of a $kind")
     return id
 }
 
-private fun versionOrNull(text: String?): Long? = text?.let { it.toLongOrNull() ?: usage("--if-version: expected a number, found '$it'") }
+private fun versionOrNull(text: String?): Long? = text?.let {
+    it.toLongOrNull()
+        ?: usageError("--if-version: expected a number, found '$it'")
+}
--- a/skylarkstile-ctl/src/main/kotlin/io/skylarkstile/ctl/main/Running.kt
+++ b/skylarkstile-ctl/src/main/kotlin/io/skylarkstile/ctl/main/Running.kt
@@ -3,6 +3,7 @@
  */
 package io.skylarkstile.ctl.main
 
+import io.skylarkstile.config.command.CommandLineEnd
 import io.skylarkstile.ctl.command.Applying
 import io.skylarkstile.ctl.command.Changing
 import io.skylarkstile.ctl.command.Command
@@ -25,9 +26,9 @@
     val invocation =
         try {
             parseCommandLine(args)
-        } catch (e: ParseEnd) {
-            (if (e.exit == ExitCode.OK) console.out else console.err)(e.message)
-            return e.exit
+        } catch (e: CommandLineEnd) {
+            if (e.isHelp) console.out(e.message) else console.err("skylarkctl: ${e.message}")
+            return if (e.isHelp) ExitCode.OK else ExitCode.USAGE
         }
     val records = invocation.platform?.let { RecordStore(openStore(it, invocation.timeoutMs)) }
     val command = invocation.command
--- a/skylarkstile-dist/src/main/kotlin/io/skylarkstile/dist/main/Main.kt
+++ b/skylarkstile-dist/src/main/kotlin/io/skylarkstile/dist/main/Main.kt
@@ -4,6 +4,8 @@
  */
 package io.skylarkstile.dist.main
 
+import io.skylarkstile.config.command.endingProcess
+import io.skylarkstile.config.command.parseOrEnd
 import io.skylarkstile.config.log.configureLogging
 import io.skylarkstile.config.record.Record
 import io.skylarkstile.config.record.readRecordFiles
@@ -22,12 +24,12 @@
 import kotlin.system.exitProcess
 
 /** Prints `target <name> <address>` for each target, then `ready <address>` of the weight store, and runs until it is ended. */
-fun main(args: Array<String>) {
+fun main(args: Array<String>) = endingProcess("skylarkstile-targets") {
     configureLogging(LogSettings(level = LogSettings.Level.Warn))
     val parser = ArgParser("skylarkstile-targets")
     val records by parser.option(ArgType.String, "records", description = "Record file with targets").required()
     val weights by parser.option(ArgType.String, "weights", description = "Address of the weight store, ip:port").required()
-    parser.parse(args)
+    parser.parseOrEnd(args)
     val files = readRecordFiles(listOf(Path.of(records)))
     if (files.findings.isNotEmpty()) {
         files.findings.forEach { System.err.println(it) }
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/Main.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/Main.kt
@@ -9,6 +9,8 @@
 import io.github.oshai.kotlinlogging.KotlinLoggingConfiguration
 import io.github.oshai.kotlinlogging.Level
 import io.skylarkstile.config.Finding
+import io.skylarkstile.config.command.endingProcess
+import io.skylarkstile.config.command.parseOrEnd
 import io.skylarkstile.config.log.configureLogging
 import io.skylarkstile.config.log.event
 import io.skylarkstile.config.settings.loadEntrySettings
@@ -24,22 +26,25 @@
 /** Is created after the start of [main], which switches off the library's own start message. */
 private val log by lazy { KotlinLogging.logger {} }
 
+private const val PROGRAM = "skylarkstile-entry"
+
 /** Exit code when the settings have findings. */
 private const val EXIT_FINDINGS = 1
 
 /** Exit code when an address can't be bound. */
 private const val EXIT_START_FAILED = 3
 
-fun main(args: Array<String>) {
+fun main(args: Array<String>) = endingProcess(PROGRAM) {
     KotlinLoggingConfiguration.logStartupMessage = false
-    val parser = ArgParser("skylarkstile-entry")
+    val parser = ArgParser(PROGRAM)
     val file by parser.option(ArgType.String, "settings", "s", "Settings file (INI)").required()
     val check by parser.option(ArgType.Boolean, "check", "c", "Check the settings, print every finding and exit with 0 or 1").default(false)
-    parser.parse(args)
+    parser.parseOrEnd(args)
     val settings = loadEntrySettings(Path.of(file)).getOrElse { exitWith(it) }
-    if (check) return
-    configureLogging(settings.log)
-    run(settings)
+    if (!check) {
+        configureLogging(settings.log)
+        run(settings)
+    }
 }
 
 private fun run(settings: EntrySettings) {
@@ -47,7 +52,7 @@
         try {
             runBlocking { startInstance(settings) }
         } catch (e: java.io.IOException) {
-            System.err.println("skylarkstile-entry: ${settings.instance.name} could not start: ${e.message}")
+            System.err.println("$PROGRAM: ${settings.instance.name} could not start: ${e.message}")
             exitProcess(EXIT_START_FAILED)
         }
     Runtime.getRuntime().addShutdownHook(
--- a/skylarkstile-standin/src/main/kotlin/io/skylarkstile/standin/main/Main.kt
+++ b/skylarkstile-standin/src/main/kotlin/io/skylarkstile/standin/main/Main.kt
@@ -3,6 +3,9 @@
  */
 package io.skylarkstile.standin.main
 
+import io.skylarkstile.config.command.endingProcess
+import io.skylarkstile.config.command.parseOrEnd
+import io.skylarkstile.config.command.usageError
 import io.skylarkstile.config.log.configureLogging
 import io.skylarkstile.schema.generated.LogSettings
 import io.skylarkstile.standin.engine.EngineSettings
@@ -24,15 +27,13 @@
 import kotlinx.cli.default
 import kotlinx.cli.multiple
 import java.util.concurrent.CountDownLatch
-import kotlin.system.exitProcess
 
 /** Starts the stand-in that the first argument names. */
-@OptIn(ExperimentalCli::class)
-fun main(args: Array<String>) {
+fun main(args: Array<String>) = endingProcess("skylarkstile-standin") {
     configureLogging(LogSettings(level = LogSettings.Level.Warn))
     val parser = ArgParser("skylarkstile-standin")
-    parser.subcommands(ObjectsCommand(), EngineCommand(), ServiceCommand(), WeightsCommand(), ProxyCommand())
-    parser.parse(args.ifEmpty { arrayOf("--help") })
+    val commands = listOf(ObjectsCommand(), EngineCommand(), ServiceCommand(), WeightsCommand(), ProxyCommand())
+    parser.parseOrEnd(args.ifEmpty { arrayOf("--help") }, commands)
 }
 
 /** What the subcommands have in common. */
@@ -51,8 +52,7 @@
             try {
                 start()
             } catch (e: IllegalArgumentException) {
-                System.err.println("skylarkstile-standin $name: ${e.message}")
-                exitProcess(USAGE_EXIT)
+                usageError("$name: ${e.message}")
             }
         println("ready ${standin.address}")
         System.out.flush()
@@ -101,5 +101,3 @@
     require(name.isNotEmpty() && listen.isNotEmpty() && target.isNotEmpty()) { "'$text' is not of the form name=listen>target" }
     return LinkSpec(name, listen, target)
 }
-
-private const val USAGE_EXIT = 2
