Bound the history of the object API stand-in by size; wait for the sends in the queue test

It kept 10,000 changes, and each ledger write keeps a value of up to a megabyte. Cause 2: 'a full queue fails the sender at once' failed at a load average of 20: the raw peer slept for 600 ms, the 40 sends took longer, and the last one met a link that was up again instead of a full queue.

Change: historyCharacters bounds the values in the history, 16,000,000 by default; the raw peer waits until the sends are over, with the same checks.

After: ObjectsStandinSpec and PeerLinkSpec pass.

--- a/skylarkstile-standin/src/main/kotlin/io/skylarkstile/standin/objects/ObjectTable.kt
+++ b/skylarkstile-standin/src/main/kotlin/io/skylarkstile/standin/objects/ObjectTable.kt
@@ -17,6 +17,12 @@
     val currentVersion: Long,
 )
 
+/** Bounds of the changes that are kept for watches: their number, and the characters of their values. */
+internal data class HistoryLimits(
+    val changes: Int,
+    val characters: Long,
+)
+
 internal class ObjectTable {
     private val lock = Any()
     private val objects = sortedMapOf<String, MutableMap<String, StoredRecord>>()
@@ -24,6 +30,7 @@
     /** Last version of each name, also of removed objects, so that a version never names two states of an object. */
     private val versions = HashMap<Pair<String, String>, Long>()
     private val history = ArrayDeque<StoredRecord>()
+    private var historyCharacters = 0L
     private val lastChange = HashMap<String, Long>()
     private var forgottenUpTo = 0L
     private val revisions = MutableStateFlow(0L)
@@ -47,7 +54,7 @@
         name: String,
         value: String?,
         ifVersion: Long?,
-        historyLimit: Int,
+        limits: HistoryLimits,
     ): Result<StoredRecord, VersionConflict> = synchronized(lock) {
         val current = objects[kind]?.get(name)?.version ?: 0
         if (ifVersion != null && ifVersion != current) return Err(VersionConflict(current))
@@ -56,7 +63,7 @@
         versions[kind to name] = version
         val named = objects.getOrPut(kind) { sortedMapOf() }
         if (value == null) named.remove(name) else named[name] = record
-        remember(record, historyLimit)
+        remember(record, limits)
         return Ok(record)
     }
 
@@ -76,6 +83,7 @@
     fun forgetHistory() {
         synchronized(lock) {
             history.clear()
+            historyCharacters = 0
             forgottenUpTo = revisions.value
         }
     }
@@ -84,11 +92,18 @@
 
     private fun remember(
         record: StoredRecord,
-        historyLimit: Int,
+        limits: HistoryLimits,
     ) {
         history.addLast(record)
+        historyCharacters += record.characters
         lastChange[record.kind] = record.revision
-        while (history.size > historyLimit) forgottenUpTo = history.removeFirst().revision
+        while (history.size > limits.changes || historyCharacters > limits.characters) {
+            val oldest = history.removeFirst()
+            historyCharacters -= oldest.characters
+            forgottenUpTo = oldest.revision
+        }
         revisions.value = record.revision
     }
 }
+
+private val StoredRecord.characters: Int get() = value?.length ?: 0
--- a/skylarkstile-standin/src/main/kotlin/io/skylarkstile/standin/objects/ObjectsSettings.kt
+++ b/skylarkstile-standin/src/main/kotlin/io/skylarkstile/standin/objects/ObjectsSettings.kt
@@ -17,6 +17,8 @@
     val writesPerSecond: Double = 400.0,
     /** Changes kept for watches; a watch from before them gets a 410. */
     val historyLimit: Int = 10_000,
+    /** Characters of the values in those changes. Ledger objects are up to a megabyte, so the number alone does not bound the memory. */
+    val historyCharacters: Long = 16_000_000,
     /** Largest value in bytes; larger ones get a 413. */
     val maxValueBytes: Int = 1_048_576,
     val outage: Outage = Outage.None,
@@ -39,6 +41,7 @@
     init {
         require(loseShare in 0.0..1.0) { "loseShare must lie between 0 and 1" }
         require(historyLimit >= 0) { "historyLimit must not be negative" }
+        require(historyCharacters >= 0) { "historyCharacters must not be negative" }
         val unknown = leaving - instances.map { it.instance }.toSet()
         require(unknown.isEmpty()) { "leaving names instances that are not listed: $unknown" }
     }
--- a/skylarkstile-standin/src/main/kotlin/io/skylarkstile/standin/objects/ObjectsStandin.kt
+++ b/skylarkstile-standin/src/main/kotlin/io/skylarkstile/standin/objects/ObjectsStandin.kt
@@ -151,7 +151,7 @@
     }
 
     private suspend fun answered(call: ObjectCall.Write): HttpAnswer =
-        table.write(call.kind, call.name, call.value?.decodeToString(), call.ifVersion, controls.now.historyLimit).fold(
+        table.write(call.kind, call.name, call.value?.decodeToString(), call.ifVersion, historyLimits()).fold(
             success = { if (answerLost()) counted("lost", withhold(controls.now.loseMode)) else recordAnswer(it.copy(value = null)) },
             failure = {
                 val body = ConflictBody(ErrorDetail("conflict", "the current version is ${it.currentVersion}"), it.currentVersion)
@@ -159,6 +159,8 @@
             },
         )
 
+    private fun historyLimits() = controls.now.let { HistoryLimits(it.historyLimit, it.historyCharacters) }
+
     private fun answerLost(): Boolean =
         controls.take({ it.loseAnswers }, { s, n -> s.copy(loseAnswers = n) }) || Random.nextDouble() < controls.now.loseShare
 
--- a/skylarkstile-standin/src/test/kotlin/io/skylarkstile/standin/ObjectsStandinSpec.kt
+++ b/skylarkstile-standin/src/test/kotlin/io/skylarkstile/standin/ObjectsStandinSpec.kt
@@ -81,16 +81,21 @@
             withObjects { store, _ -> store.watch(listOf("a"), 0, 20).get()!!.let { it.revision to it.records.size } shouldBe (0L to 0) }
         }
 
-        test("tells a watch when the history it needs is gone") {
-            withObjects(ObjectsSettings(historyLimit = 2)) { store, standin ->
-                repeat(4) { store.put("a", "x$it", "{}", null) }
-                store.watch(listOf("a"), 1, 100).getError() shouldBe StoreError.HistoryGone
-                store
-                    .watch(listOf("a"), 2, 100)
-                    .get()!!
-                    .records.size shouldBe 2
-                control(standin.address, """{"action":"forgetHistory"}""")
-                store.watch(listOf("a"), 3, 100).getError() shouldBe StoreError.HistoryGone
+        // Without the bound on characters, large objects that change often fill the memory of the stand-in.
+        for (bounded in listOf(ObjectsSettings(historyLimit = 2), ObjectsSettings(historyCharacters = 4))) {
+            test(
+                "tells a watch when the history it needs is gone, with ${bounded.historyLimit} changes, ${bounded.historyCharacters} characters",
+            ) {
+                withObjects(bounded) { store, standin ->
+                    repeat(4) { store.put("a", "x$it", "{}", null) }
+                    store.watch(listOf("a"), 1, 100).getError() shouldBe StoreError.HistoryGone
+                    store
+                        .watch(listOf("a"), 2, 100)
+                        .get()!!
+                        .records.size shouldBe 2
+                    control(standin.address, """{"action":"forgetHistory"}""")
+                    store.watch(listOf("a"), 3, 100).getError() shouldBe StoreError.HistoryGone
+                }
             }
         }
 
--- a/skylarkstile-transport/src/test/kotlin/io/skylarkstile/transport/peer/PeerLinkSpec.kt
+++ b/skylarkstile-transport/src/test/kotlin/io/skylarkstile/transport/peer/PeerLinkSpec.kt
@@ -27,6 +27,8 @@
 import kotlinx.coroutines.flow.onEach
 import kotlinx.coroutines.flow.toList
 import kotlinx.coroutines.withContext
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.seconds
 
@@ -317,13 +319,16 @@
         }
 
         test("a full queue fails the sender at once and a call never written is not sent") {
-            val handshakeOnly = RawPeer("raw") { Thread.sleep(600) }
+            // The raw side reads nothing until the sends are over, however long they take on a busy machine.
+            val sent = CountDownLatch(1)
+            val handshakeOnly = RawPeer("raw") { sent.await(20, TimeUnit.SECONDS) }
             handshakeOnly.use { raw ->
-                node("a", options = options.copy(queueFrames = 4, heartbeatMs = 1_000)).use { a ->
+                node("a", options = options.copy(queueFrames = 4, heartbeatMs = 5_000)).use { a ->
                     a.setPeers(mapOf("raw" to raw.address))
                     eventually(5.seconds) { a.connected() shouldContain "raw" }
                     val big = releaseOf("x".repeat(900_000))
                     val results = List(40) { a.send("raw", MessageKinds.release, big).also { delay(5) } }
+                    sent.countDown()
                     results
                         .last()
                         .getError()
