Let bench run start the fleet, carry out the scenarios and measure it

Cause: bench run needed a running site, the scenarios that act on the fleet were only names, and the fleet's own counters were missing from summary.json.

Conclusion: one command measures a fleet. The actions of the schedule have not been run yet.

--- a/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/fleet/Fleet.kt
+++ b/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/fleet/Fleet.kt
@@ -93,6 +93,25 @@
         return target(name, process, record)
     }
 
+    /**
+     * Starts the weight store and all [replicas] in one process, since a process for each is too much for one machine at the sizes of a
+     * site, and writes their records. Returns the controls of the weight store. The fleet must not be proxied.
+     */
+    suspend fun sharedTargets(replicas: Map<String, TargetRecord>): Control {
+        require(!proxied) { "targets that share a process have no edges of their own" }
+        val file = File(directory, "targets.ini")
+        writeSettings(file, replicas.flatMap { (name, record) -> sectionOf(name, record) }.toMap())
+        val process =
+            ChildProcess("targets", TARGETS_MAIN, listOf("--records", file.path, "--weights", freeAddress()), directory, SHARED_HEAP)
+        children += process
+        process.start().awaitReady()
+        replicas.forEach { (name, record) -> records.target(name, record) }
+        listed += replicas.map { (name, record) -> ListedInstance(name, record.address, record.dataCentre, "live") }
+        objects.set("""{"instances":${Json.encodeToString(listed)}}""")
+        started += replicas.map { (name, record) -> FleetTarget(name, process, Control(client, record.address), record.address, record) }
+        return Control(client, process.address)
+    }
+
     /** Starts a replica of the plain service [service] and writes its record. */
     suspend fun service(
         name: String,
@@ -180,7 +199,23 @@
 
     private companion object {
         const val STANDIN_MAIN = "io.skylarkstile.standin.main.MainKt"
+        const val TARGETS_MAIN = "io.skylarkstile.dist.main.MainKt"
+        const val SHARED_HEAP = "512m"
         const val ENTRY_MAIN = "io.skylarkstile.entry.main.MainKt"
         const val STORE_TIMEOUT_MS = 3_000L
     }
 }
+
+private fun sectionOf(
+    name: String,
+    record: TargetRecord,
+): List<Pair<String, String>> = listOfNotNull(
+    "schemaVersion" to "${record.schemaVersion}",
+    "type" to record.type.value,
+    "address" to record.address,
+    "dataCentre" to record.dataCentre,
+    "slots" to "${record.slots}",
+    "maxRunning" to "${record.maxRunning}",
+    record.baseModel?.let { "baseModel" to it },
+    record.service?.let { "service" to it },
+).map { (key, value) -> "target $name.$key" to value }
--- a/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/trace/IdealQuota.kt
+++ b/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/trace/IdealQuota.kt
@@ -12,6 +12,26 @@
     val tokenBurst: Double,
 )
 
+/** A workspace's rate over its mean load, so that steady load is within rate. */
+private const val RATE_MARGIN = 1.25
+private const val BURST_SECONDS = 4.0
+
+/** Smallest burst of requests; a workspace of less than one request per second must be able to open a page. */
+private const val MIN_BURST = 10.0
+
+/** Tokens allowed for each request, over the mean; no request of a trace asks for more than 1.5 times the mean. */
+private const val TOKEN_MARGIN = 2.0
+
+/** Returns the limits that a fleet started for [profile] writes into the record of [workspace]. */
+fun limitsOf(
+    profile: Profile,
+    workspace: ProfileWorkspace,
+): QuotaLimits {
+    val rate = profile.requestsPerSecond * workspace.share * RATE_MARGIN
+    val burst = maxOf(MIN_BURST, rate * BURST_SECONDS)
+    return QuotaLimits(rate, burst, rate * profile.meanTokens * TOKEN_MARGIN, burst * profile.meanTokens * TOKEN_MARGIN)
+}
+
 /** Decides on arrivals in order of time as one bucket for the whole fleet would. */
 class IdealQuota(
     private val limits: QuotaLimits,
--- a/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/trace/Scenario.kt
+++ b/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/trace/Scenario.kt
@@ -3,7 +3,7 @@
  */
 package io.skylarkstile.bench.trace
 
-/** Events of a run. The first group changes the trace, the second group is carried out on the fleet half way through the run. */
+/** Events of a run. The first group changes the trace or its callers, the second group acts on the fleet by [scheduleOf]. */
 enum class Scenario(
     val text: String,
 ) {
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/OwnedTarget.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/OwnedTarget.kt
@@ -69,6 +69,8 @@
         refusalOrNull(work)?.let { return it }
         popularity.record(work.model, work.arrivedAt)
         val request = work.request
+        val isLoaded = slots.isLoaded(work.model)
+        work.waitsForLoad = !isLoaded
         val entry =
             Waiting(
                 work,
@@ -79,7 +81,7 @@
                 work.arrivedAt,
                 work.arrivedAt + request.deadlineMs,
             )
-        val answer = queue.add(entry, slots.isLoaded(work.model), running.size, capacity(), work.arrivedAt)
+        val answer = queue.add(entry, isLoaded, running.size, capacity(), work.arrivedAt)
         if (answer is Entry.Refused) return notRun(answer.reason, "target $name", answer.retryAfterMs)
         waiting[work] = entry
         (answer as Entry.Accepted).pushedOutOrNull?.let { refuse(it, notRun("queue-full", "target $name", NOT_READY_RETRY_MS)) }
@@ -124,6 +126,7 @@
             val handle = checkNotNull(slots.pin(work.model, now)) { "request ${work.request.requestId} was ready without its adapter" }
             waiting.remove(work)
             running[work] = entry
+            env.stalls.started(work.waitsForLoad, now - work.arrivedAt)
             work.start(Decision.Start(handle, boot), now)
         }
         onChange()
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/TargetEnv.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/TargetEnv.kt
@@ -23,6 +23,7 @@
     val sendMarginMs: Long,
     val scope: CoroutineScope,
     val now: () -> Long,
+    val stalls: LoadStalls = LoadStalls(),
 ) {
     /** Returns whether this instance may send work and orders under [resource] at [epoch]. */
     fun maySend(
@@ -64,6 +65,9 @@
     /** Is completed with a reason when the running request must be given up. */
     val aborted = CompletableDeferred<String>()
 
+    /** Whether the adapter was not loaded when the request arrived. */
+    var waitsForLoad = false
+
     /** Is set when the request starts. */
     var startOrNull: Decision.Start? = null
         private set
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/TargetPart.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/TargetPart.kt
@@ -30,6 +30,7 @@
     val router: List<RouterDump>,
     val loadBudget: LoadBudgetDump,
     val retriesLeft: Map<String, Double>,
+    val stalls: LoadStallsDump,
 )
 
 /** Runs model requests and owns engine targets. [owner] and [loadBudget] are to be given to the membership as resource holders. */
@@ -64,6 +65,6 @@
     val dispatcher = RetryingDispatcher(cluster.self, router, owner, network, budget, now)
     scope.launch { broadcast.run(owner) }
     return TargetPart(owner, loadBudget, router, dispatcher) {
-        TargetPartDump(owner.dump(), router.dump(now()), loadBudget.dump(), budget.dump())
+        TargetPartDump(owner.dump(), router.dump(now()), loadBudget.dump(), budget.dump(), env.stalls.dump())
     }
 }
