--- a/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/main/Main.kt
+++ b/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/main/Main.kt
@@ -1,5 +1,5 @@
 /*
- * The load tool: `run` sends a seeded trace to a running site in open loop, `compare` prints ratios of two runs, `plot` writes their plots,
+ * The load tool: `run` sends a seeded trace in open loop to a fleet that it starts or to a running site, `compare` prints ratios of two runs, `plot` writes their plots,
  * `overhead` compares calls through an entry instance with direct ones.
  */
 package io.skylarkstile.bench.main
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/TargetPart.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/TargetPart.kt
@@ -32,6 +32,7 @@
     val loadBudget: LoadBudgetDump,
     val retriesLeft: Map<String, Double>,
     val policy: String,
+    val stalls: LoadStallsDump,
 )
 
 /** Runs model requests and owns engine targets. [owner] and [loadBudget] are to be given to the membership as resource holders. */
@@ -67,6 +68,6 @@
     val dispatcher = RetryingDispatcher(cluster.self, router, owner, network, budget, now)
     scope.launch { broadcast.run(owner) }
     return TargetPart(owner, loadBudget, router, dispatcher) {
-        TargetPartDump(owner.dump(), router.dump(now()), loadBudget.dump(), budget.dump(), policy.name)
+        TargetPartDump(owner.dump(), router.dump(now()), loadBudget.dump(), budget.dump(), policy.name, env.stalls.dump())
     }
 }
