--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/cluster/ClusterCalls.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/cluster/ClusterCalls.kt
@@ -11,6 +11,8 @@
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import io.skylarkstile.config.log.event
 import io.skylarkstile.core.cluster.WriteOutcome
 import io.skylarkstile.schema.generated.LeaseRecord
 import io.skylarkstile.schema.generated.Roster
@@ -57,7 +59,12 @@
                 val value = record?.value?.let { recordJson.decodeFromString(serializer, it) }
                 Ok(Versioned(value, if (value == null) 0 else record.version))
             } catch (e: IllegalArgumentException) {
-                log.error { "object $kind/$name cannot be read: ${e.message}" }
+                log.event(
+                    Level.ERROR,
+                    "cluster-object-unreadable",
+                    "kind" to kind,
+                    "name" to name,
+                ) { "object $kind/$name cannot be read: ${e.message}" }
                 Err(StoreError.Rejected(e.message.orEmpty()))
             }
         },
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/cluster/DrivenCluster.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/cluster/DrivenCluster.kt
@@ -7,6 +7,8 @@
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import io.skylarkstile.config.log.event
 import io.skylarkstile.core.cluster.ClusterAction
 import io.skylarkstile.core.cluster.ClusterCore
 import io.skylarkstile.core.cluster.ClusterTiming
@@ -97,7 +99,7 @@
                 step()
             } catch (e: RuntimeException) {
                 // A holder or listener that fails must not stop the lease.
-                log.error(e) { "a step of the membership failed" }
+                log.event(Level.ERROR, "membership-step-failed", cause = e) { "a step of the membership failed" }
             }
             delay(timing.heartbeatMs / STEPS_PER_HEARTBEAT)
         }
@@ -126,7 +128,9 @@
                     ) + 1,
                 )
             }
-        log.warn { "this instance was removed or paused beyond its lease; it joins again as incarnation $incarnation" }
+        log.event(Level.WARN, "membership-rejoin", "incarnation" to incarnation) {
+            "this instance was removed or paused beyond its lease; it joins again"
+        }
         driver.changing { _, _ -> core.use { it.rejoin(incarnation) } }
         network.renew(incarnation)
     }
@@ -135,7 +139,6 @@
         val now = parts.now()
         val events = core.use { watch.events(it.hasLease(now), it.unconfirmedMs(now)) }
         for (event in events) {
-            log.info { "lease: ${event.name.lowercase()}" }
             listeners.forEach { tell(it, event) }
         }
     }
@@ -223,7 +226,9 @@
         driver.changing { resources, snapshot -> change(resources, snapshot).also { changed = it.changed }.released }
         if (!changed) return
         val roster = core.use { it.roster }
-        log.info { "roster ${roster.revision}: ${roster.members.joinToString { "${it.instance} ${it.state.value}" }}" }
+        log.event(Level.INFO, "roster-changed", "revision" to roster.revision) {
+            "the roster is ${roster.members.joinToString { "${it.instance} ${it.state.value}" }}"
+        }
         setPeers(roster)
         listeners.forEach { it.onRoster(roster) }
         hurry.trySend(Unit)
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/ModelCalls.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/ModelCalls.kt
@@ -5,6 +5,8 @@
 
 import com.github.michaelbull.result.getOrElse
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import io.skylarkstile.config.log.event
 import io.skylarkstile.core.dispatch.DispatchEvent
 import io.skylarkstile.core.limit.Admission
 import io.skylarkstile.core.limit.AdmissionLimiter
@@ -206,7 +208,7 @@
 
 /** Turns an exception of the run into an explicit end, so that the caller gets an error document. */
 private fun Flow<DispatchEvent>.failuresAsEnd(): Flow<DispatchEvent> = catch { e ->
-    log.error(e) { "running a model request failed" }
+    log.event(Level.ERROR, "model-request-failed", cause = e) { "running a model request failed" }
     emit(DispatchEvent.End(DispatchEnd(DispatchEnd.Outcome.Unknown, reason = "internal-error", detail = "the run failed")))
 }
 
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/ledger/LedgerStore.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/ledger/LedgerStore.kt
@@ -5,6 +5,8 @@
 
 import com.github.michaelbull.result.fold
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import io.skylarkstile.config.log.event
 import io.skylarkstile.core.ledger.LedgerOp
 import io.skylarkstile.core.ledger.LedgerOpResult
 import io.skylarkstile.schema.generated.LedgerHead
@@ -58,7 +60,12 @@
         return try {
             result(recordJson.decodeFromString(serializer, value), record.version)
         } catch (e: SerializationException) {
-            log.error(e) { "object $KIND/${record.name} cannot be read as a ledger object" }
+            log.event(
+                Level.ERROR,
+                "ledger-object-unreadable",
+                "name" to record.name,
+                cause = e,
+            ) { "object $KIND/${record.name} cannot be read" }
             LedgerOpResult.Failed
         }
     }
@@ -79,7 +86,9 @@
         is StoreError.Conflict -> LedgerOpResult.Conflict
         is StoreError.Unavailable -> if (error.mayHaveApplied) LedgerOpResult.Uncertain else LedgerOpResult.Failed
         is StoreError.Rejected -> {
-            log.error { "object $KIND/${name(suffix)} was rejected: ${error.detail}" }
+            log.event(Level.ERROR, "ledger-write-rejected", "name" to name(suffix)) {
+                "the platform rejected object $KIND/${name(suffix)}: ${error.detail}"
+            }
             LedgerOpResult.Failed
         }
         else -> LedgerOpResult.Failed
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/ledger/RangeHost.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/ledger/RangeHost.kt
@@ -5,6 +5,8 @@
 package io.skylarkstile.entry.ledger
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import io.skylarkstile.config.log.event
 import io.skylarkstile.core.cluster.Ownership
 import io.skylarkstile.core.ledger.LedgerEffect
 import io.skylarkstile.core.ledger.LedgerOp
@@ -141,7 +143,9 @@
         throw e
     } catch (e: Exception) {
         // Whether a byte was sent is unknown, so the outcome is too.
-        log.error(e) { "the call ${attempt.call.requestId} of service '${attempt.call.service}' failed" }
+        log.event(Level.ERROR, "service-call-failed", "requestId" to attempt.call.requestId, "service" to attempt.call.service, cause = e) {
+            "a call of a service failed in an unexpected way"
+        }
         RunResult.NoAnswer("the call failed: ${e.message}")
     }
 
@@ -169,7 +173,7 @@
     } catch (e: CancellationException) {
         throw e
     } catch (e: Exception) {
-        log.error(e) { "an operation of ledger range $range failed" }
+        log.event(Level.ERROR, "ledger-operation-failed", "range" to range, cause = e) { "an operation of ledger range $range failed" }
         val isRead = op is LedgerOp.ReadHead || op is LedgerOp.ReadSegment
         if (isRead) LedgerOpResult.Failed else LedgerOpResult.Uncertain
     }
@@ -184,7 +188,7 @@
         delay(REOPEN_MS)
         val held = (env.ownership(range) as? Ownership.Held)?.epoch == epoch
         if (released || !held) return false
-        log.info { "ledger range $range is opened anew in epoch $epoch" }
+        log.event(Level.INFO, "ledger-range-reopened", "range" to range, "epoch" to epoch) { "ledger range $range is opened anew" }
         lock.withLock { ledger = newLedger() }
         return true
     }
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/limit/BorrowingLimiter.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/limit/BorrowingLimiter.kt
@@ -6,6 +6,8 @@
 
 import com.github.michaelbull.result.fold
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import io.skylarkstile.config.log.event
 import io.skylarkstile.core.cluster.ClusterView
 import io.skylarkstile.core.limit.Admission
 import io.skylarkstile.core.limit.AdmissionLimiter
@@ -180,7 +182,7 @@
         workspace: String,
         reason: String,
     ): Admission.Refused {
-        log.debug { "refused a request of workspace $workspace: $reason" }
+        log.event(Level.DEBUG, "request-refused", "workspace" to workspace, "reason" to reason) { "refused a request" }
         return Admission.Refused(reason, 0)
     }
 
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/EntryInstance.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/EntryInstance.kt
@@ -12,6 +12,8 @@
 import io.skylarkstile.core.snapshot.Snapshot
 import io.skylarkstile.entry.admin.Admin
 import io.skylarkstile.entry.admin.DumpPart
+import io.skylarkstile.entry.admin.InstanceState
+import io.skylarkstile.entry.admin.registerInstanceMetrics
 import io.skylarkstile.entry.cluster.ClusterDump
 import io.skylarkstile.entry.cluster.ClusterListener
 import io.skylarkstile.entry.cluster.ClusterParts
@@ -132,6 +134,8 @@
     fun start() {
         listOf(targets.owner, targets.loadBudget, ledger.owner).forEach(cluster::register)
         cluster.listen(Reactions())
+        val state = InstanceState({ notReadyOrNull() == null }, running::count, { snapshots.current().revision }, cluster::dump)
+        registerInstanceMetrics(registry, state)
         snapshots.onChange(::endWithdrawn)
         front = httpServer(settings.instance.callerAddress, frontLimits(), createFront())
         admin = httpServer(settings.instance.adminAddress, HttpServerLimits(maxConnections = ADMIN_CONNECTIONS), createAdmin())
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/snapshot/SnapshotSync.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/snapshot/SnapshotSync.kt
@@ -153,8 +153,10 @@
     private fun noted(answer: Result<RecordList, StoreError>): Boolean {
         val works = answer.fold({ true }, { false })
         if (counters.platformWorks.getAndSet(works) != works) {
-            log.event(Level.INFO, if (works) "snapshot-platform-back" else "snapshot-platform-lost") {
-                if (works) "records come from the platform again" else "records come from peers: ${answer.fold({ "" }, { it.toString() })}"
+            if (works) {
+                log.event(Level.INFO, "snapshot-platform-back") { "records come from the platform again" }
+            } else {
+                log.event(Level.WARN, "snapshot-platform-lost") { "records come from peers: ${answer.fold({ "" }, { it.toString() })}" }
             }
         }
         return works
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/AnswerRelay.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/AnswerRelay.kt
@@ -5,6 +5,8 @@
 package io.skylarkstile.entry.target
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import io.skylarkstile.config.log.event
 import io.skylarkstile.core.dispatch.DispatchEvent
 import io.skylarkstile.schema.generated.Dispatch
 import io.skylarkstile.schema.generated.DispatchEnd
@@ -63,17 +65,18 @@
     /** Engines derive the id of an answer and of each chunk from the request id, as in `cmpl-<request id>`. */
     private fun isForeign(id: String): Boolean = id != request.requestId && !id.endsWith("-${request.requestId}")
 
-    private fun foreignEnd(id: String): DispatchEnd {
-        log.warn { "Dropped a part of an answer of target ${request.target}: it has the id $id and came to request ${request.requestId}" }
-        return unknownEnd("answer-mismatch", "a part of the answer has the id $id")
-    }
+    private fun foreignEnd(id: String): DispatchEnd = mismatchEnd("a part of the answer has the id $id")
 
     private suspend fun mismatch(answer: HttpAnswer): DispatchEnd {
         val detail =
             "the answer (status ${answer.status}) names request ${answer.headers[REQUEST_ID_HEADER]} and adapter " +
                 "${answer.headers[ADAPTER_HEADER]} instead of ${request.requestId} and $handle"
-        log.warn { "Dropped an answer of target ${request.target}: $detail" }
         discard(answer)
+        return mismatchEnd(detail)
+    }
+
+    private fun mismatchEnd(detail: String): DispatchEnd {
+        log.event(Level.WARN, "answer-mismatch", "target" to request.target, "requestId" to request.requestId) { detail }
         return unknownEnd("answer-mismatch", detail)
     }
 
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/ModelDispatcher.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/ModelDispatcher.kt
@@ -5,6 +5,8 @@
 package io.skylarkstile.entry.target
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import io.skylarkstile.config.log.event
 import io.skylarkstile.core.dispatch.DispatchEvent
 import io.skylarkstile.core.retry.RetryBudget
 import io.skylarkstile.entry.front.ModelRunner
@@ -88,7 +90,15 @@
             candidate: Candidate,
             end: DispatchEnd,
         ) {
-            log.debug { "Request ${request.requestId} on ${candidate.target} at ${candidate.owner}: ${end.outcome.value} ${end.reason}" }
+            log.event(
+                Level.DEBUG,
+                "attempt-ended",
+                "requestId" to request.requestId,
+                "target" to candidate.target,
+                "owner" to candidate.owner,
+            ) {
+                "an attempt ended: ${end.outcome.value} ${end.reason}"
+            }
             tried.add(candidate.target)
             hasUnknown = hasUnknown || end.outcome == DispatchEnd.Outcome.Unknown
             last = end
@@ -136,7 +146,15 @@
             var end: DispatchEnd? = null
             events
                 .catch { failure ->
-                    log.error(failure) { "Request ${request.requestId} failed in an unexpected way on ${candidate.target}" }
+                    log.event(
+                        Level.ERROR,
+                        "attempt-failed",
+                        "requestId" to request.requestId,
+                        "target" to candidate.target,
+                        cause = failure,
+                    ) {
+                        "an attempt failed in an unexpected way"
+                    }
                     emit(DispatchEvent.End(unknownEnd("internal-error", failure.message)))
                 }.firstOrNull { event -> session.handle(event).also { end = it } != null }
             return end ?: unknownEnd("answer-incomplete", "the attempt ended without a result")
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/OwnedTarget.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/OwnedTarget.kt
@@ -5,6 +5,8 @@
 package io.skylarkstile.entry.target
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import io.skylarkstile.config.log.event
 import io.skylarkstile.core.cluster.Resource
 import io.skylarkstile.core.load.loadUrgency
 import io.skylarkstile.core.placement.AdapterSlots
@@ -198,7 +200,7 @@
     fun readFailed(detail: String) = lock.withLock {
         readFailures++
         if (readFailures != UNREACHABLE_AFTER_FAILURES || phase == TargetPhase.Released) return@withLock
-        log.warn { "Target $name at $address is unreachable: $detail" }
+        log.event(Level.WARN, "target-unreachable", "target" to name, "address" to address) { "target $name is unreachable: $detail" }
         phase = TargetPhase.Unreachable
         refuseAll(notRun("target-unreachable", "target $name", NOT_READY_RETRY_MS))
         onChange()
@@ -212,7 +214,9 @@
         if (before == id || id in pastBoots) return false
         bootId = id
         if (before == null) return false
-        log.warn { "Target $name restarted: boot id $before was replaced by $id; ${running.size} running requests are given up" }
+        log.event(Level.WARN, "target-restarted", "target" to name, "bootId" to id, "requests" to running.size) {
+            "target $name restarted: boot id $before was replaced by $id; its running requests are given up"
+        }
         pastBoots.add(before)
         boot++
         slots.forget()
@@ -318,7 +322,16 @@
         isSlow: Boolean,
     ) {
         val backoff = backoffs.failed(model, isSlow, env.now())
-        log.warn { "Load of $model on target $name failed (${backoff.failures} in a row, next try in ${backoff.pauseMs} ms): $detail" }
+        log.event(
+            Level.WARN,
+            "load-failed",
+            "target" to name,
+            "model" to model,
+            "failures" to backoff.failures,
+            "pauseMs" to backoff.pauseMs,
+        ) {
+            "load of $model on target $name failed: $detail"
+        }
         if (backoff.isRefusing) refuseAll(notRun("load-failed", "target $name: $detail", backoff.pauseMs)) { it.model == model }
     }
 
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/TargetOwner.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/TargetOwner.kt
@@ -4,6 +4,8 @@
 package io.skylarkstile.entry.target
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import io.skylarkstile.config.log.event
 import io.skylarkstile.core.cluster.Resource
 import io.skylarkstile.core.cluster.ResourceHolder
 import io.skylarkstile.core.cluster.targetResource
@@ -97,7 +99,7 @@
         epoch: Long,
         facts: TargetFacts,
     ): Owned {
-        log.info { "Took over target $name at epoch $epoch" }
+        log.event(Level.INFO, "target-taken-over", "target" to name, "epoch" to epoch) { "took over target $name" }
         val target = OwnedTarget(name, epoch, resource, env, facts, { retiredPins(name) }) { onStateChange(name) }
         return Owned(target, EngineControl(target, env)).also { it.control.start() }
     }
--- a/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/ServerConnection.kt
+++ b/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/ServerConnection.kt
@@ -5,6 +5,7 @@
 package io.skylarkstile.transport.http
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
@@ -26,6 +27,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
+import io.skylarkstile.config.log.event
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
@@ -78,7 +80,7 @@
         ctx: ChannelHandlerContext,
         cause: Throwable,
     ) {
-        log.debug { "closing a caller connection: ${cause.message}" }
+        log.event(Level.DEBUG, "connection-failed") { "closing a caller connection: ${cause.message}" }
         ctx.close()
     }
 
@@ -160,7 +162,11 @@
             channel.close()
             throw e
         } catch (e: Exception) {
-            if (!started) log.warn(e) { "answering failed" } else log.debug { "an answer broke off: ${e.message}" }
+            if (started) {
+                log.event(Level.DEBUG, "answer-broke-off") { "an answer broke off: ${e.message}" }
+            } else {
+                log.event(Level.WARN, "answer-failed", cause = e) { "answering failed" }
+            }
             channel.close()
         }
     }
@@ -170,7 +176,7 @@
     } catch (e: CancellationException) {
         throw e
     } catch (e: Exception) {
-        log.error(e) { "handler failed" }
+        log.event(Level.ERROR, "handler-failed", cause = e) { "the handler of a request failed" }
         wholeAnswer(HttpResponseStatus.INTERNAL_SERVER_ERROR.code(), "text/plain", "internal error\n".toByteArray())
     }
 
--- a/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/peer/AcceptedSession.kt
+++ b/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/peer/AcceptedSession.kt
@@ -4,6 +4,8 @@
 package io.skylarkstile.transport.peer
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import io.skylarkstile.config.log.event
 import io.skylarkstile.core.dispatch.DispatchEvent
 import io.skylarkstile.schema.generated.CallError
 import io.skylarkstile.schema.generated.Dispatch
@@ -93,7 +95,7 @@
         val receiver = handlers.receivers[envelope.kind]
         if (receiver == null) {
             // A newer release may send one-way messages that this one does not know.
-            log.debug { "no receiver of ${envelope.kind} from $from" }
+            log.event(Level.DEBUG, "message-unknown", "kind" to envelope.kind, "peer" to from) { "no receiver of ${envelope.kind}" }
             return
         }
         receiver(from, envelope.body)
@@ -127,7 +129,13 @@
     } catch (e: CancellationException) {
         throw e
     } catch (e: Exception) {
-        log.warn(e) { "answering ${envelope.kind} from $from failed" }
+        log.event(
+            Level.WARN,
+            "peer-call-failed",
+            "kind" to envelope.kind,
+            "peer" to from,
+            cause = e,
+        ) { "answering ${envelope.kind} failed" }
         frame(MessageKinds.callError, envelope.id, CallError(e.message ?: e::class.java.simpleName))
     }
 
@@ -175,7 +183,7 @@
         } catch (e: CancellationException) {
             throw e
         } catch (e: Exception) {
-            log.warn(e) { "a request forwarded by $from failed" }
+            log.event(Level.WARN, "forwarded-request-failed", "peer" to from, cause = e) { "a request forwarded by $from failed" }
             end = DispatchEnd(outcome = DispatchEnd.Outcome.Unknown, reason = "peer-failure", detail = e.message)
         }
         return end ?: DispatchEnd(outcome = DispatchEnd.Outcome.Unknown, reason = "peer-failure", detail = "the answer has no end")
--- a/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/peer/Dialler.kt
+++ b/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/peer/Dialler.kt
@@ -4,9 +4,11 @@
 package io.skylarkstile.transport.peer
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
+import io.skylarkstile.config.log.event
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -72,7 +74,11 @@
         while (true) {
             val since = options.now()
             val reason = dialOnce()
-            if (reason != lastEnd) log.info { "link to $peer at $address ended: $reason" }
+            if (reason !=
+                lastEnd
+            ) {
+                log.event(Level.INFO, "link-ended", "peer" to peer, "address" to address) { "link to $peer ended: $reason" }
+            }
             lastEnd = reason
             // A link that lived for a while starts the backoff again.
             if (options.now() - since > options.maxBackoffMs) backoffMs = options.firstBackoffMs
@@ -124,7 +130,7 @@
         var reason = "stopped"
         link = fresh
         session = running
-        log.info { "link to $peer at $address is up" }
+        log.event(Level.INFO, "link-up", "peer" to peer, "address" to address) { "link to $peer is up" }
         try {
             reason = fresh.run { running.handle(it) }
             return reason
--- a/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/peer/SocketPeerNode.kt
+++ b/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/peer/SocketPeerNode.kt
@@ -6,11 +6,13 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.toJavaAddress
+import io.skylarkstile.config.log.event
 import io.skylarkstile.core.dispatch.DispatchEvent
 import io.skylarkstile.schema.generated.Dispatch
 import io.skylarkstile.schema.generated.DispatchEnd
@@ -81,7 +83,7 @@
                 throw e
             } catch (e: Exception) {
                 if (closing) return
-                log.warn { "accepting a link failed: ${e.message}" }
+                log.event(Level.WARN, "link-accept-failed") { "accepting a link failed: ${e.message}" }
                 delay(ACCEPT_RETRY_MS)
             }
         }
@@ -99,7 +101,7 @@
         } catch (e: CancellationException) {
             throw e
         } catch (e: Exception) {
-            log.info { "link from $remote failed: ${e.message}" }
+            log.event(Level.INFO, "link-failed", "remote" to remote) { "link from $remote failed: ${e.message}" }
         }
     }
 
@@ -108,7 +110,7 @@
         val reply = replyTo(hello, identity, incarnations)
         link.writeNow(frame(helloReplyKind, 0, reply))
         if (reply.refused == null) return hello
-        log.info { "link from ${hello.instance} refused: ${reply.refused}" }
+        log.event(Level.INFO, "link-refused", "peer" to hello.instance) { "link from ${hello.instance} refused: ${reply.refused}" }
         return null
     }
 
@@ -121,7 +123,7 @@
             // A newer incarnation may have been noted between the handshake and here.
             if (!incarnations.admit(name, entry.hello.incarnation)) return
             val reason = entry.link.run { entry.session.handle(this, it) }
-            log.info { "link from $name ended: $reason" }
+            log.event(Level.INFO, "accepted-link-ended", "peer" to name) { "link from $name ended: $reason" }
         } finally {
             synchronized(lock) { accepted.remove(name, entry) }
         }
@@ -210,7 +212,13 @@
             try {
                 handler(from, message)
             } catch (e: Exception) {
-                log.warn(e) { "handling ${kind.name} from $from failed" }
+                log.event(
+                    Level.WARN,
+                    "peer-message-failed",
+                    "kind" to kind.name,
+                    "peer" to from,
+                    cause = e,
+                ) { "handling ${kind.name} failed" }
             }
         }
     }
