--- a/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/main/RunCommand.kt
+++ b/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/main/RunCommand.kt
@@ -24,8 +24,8 @@
 import io.skylarkstile.bench.trace.limitsOf
 import io.skylarkstile.bench.trace.profiles
 import io.skylarkstile.bench.trace.scenarioOrNull
-import io.skylarkstile.config.command.usageError
 import io.skylarkstile.bench.trace.scheduleOf
+import io.skylarkstile.config.command.usageError
 import io.skylarkstile.transport.http.httpClient
 import kotlinx.cli.ArgType
 import kotlinx.cli.ExperimentalCli
@@ -91,7 +91,8 @@
 
     override fun execute() {
         val sizes = profiles[profile] ?: usageError("there is no profile '$profile'; there are ${profiles.keys}")
-        val event = scenarioOrNull(scenario) ?: usageError("there is no scenario '$scenario'; there are ${Scenario.entries.map { it.text }}")
+        val event =
+            scenarioOrNull(scenario) ?: usageError("there is no scenario '$scenario'; there are ${Scenario.entries.map { it.text }}")
         if (minutes !in MIN_MINUTES..MAX_MINUTES) usageError("--minutes must lie between $MIN_MINUTES and $MAX_MINUTES, not $minutes")
         if (policy !in policies) usageError("there is no policy '$policy'; there are $policies")
         val directory = directoryOf(out)
