Choose an adapter's home by the popularity of what would leave; check the goals

Cause: plain hashing divides the demand for slots unequally, so some engines evict adapters that are asked for more often than those other engines keep. Change: owners state the rate of the adapter that would leave next (TargetState.victimRate, optional). An adapter that is loaded nowhere goes to that of its first two homes with the lower rate. The check that stays green is tighter than before: 1.36 instead of 1.5. The simulation has one router, so loads of one adapter at both homes by instances with different states are not measured.

--- a/skylarkstile-core/src/test/kotlin/io/skylarkstile/core/placement/PlacementSpec.kt
+++ b/skylarkstile-core/src/test/kotlin/io/skylarkstile/core/placement/PlacementSpec.kt
@@ -60,6 +60,25 @@
             (orders(Policy.Random) == orders(Policy.Random)) shouldBe false
         }
 
+        test("of its two homes an adapter goes to the one where a less popular adapter leaves, and never to a third") {
+            val order = rankTargets("a7@1", (1..13).map { view("t$it") }, costs).map { it.target }
+
+            fun first(vararg rates: Double) = rankTargets(
+                "a7@1",
+                order.mapIndexed {
+                    at,
+                    name,
+                    ->
+                    view(name).copy(victimRate = rates.getOrElse(at) { 0.0 })
+                },
+                costs,
+            ).first().target
+            first(0.2, 0.1) shouldBe order[1]
+            first(0.1, 0.2) shouldBe order[0]
+            first(0.1, 0.1) shouldBe order[0]
+            first(Double.POSITIVE_INFINITY, 0.3) shouldBe order[1]
+        }
+
         test("homes spread evenly, do not depend on the order of targets, and avoid busy targets") {
             val targets = (1..13).map { view("t$it") }
             val homes = (1..3_000).groupingBy { rankTargets("a$it@1", targets, costs).first().target }.eachCount()
--- a/skylarkstile-core/src/test/kotlin/io/skylarkstile/core/placement/PolicySimulationSpec.kt
+++ b/skylarkstile-core/src/test/kotlin/io/skylarkstile/core/placement/PolicySimulationSpec.kt
@@ -6,6 +6,8 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.doubles.shouldBeLessThan
+import io.kotest.matchers.doubles.shouldBeLessThanOrEqual
+import io.skylarkstile.core.isKnownRed
 import io.skylarkstile.schema.generated.TargetSettings.Policy
 import java.util.PriorityQueue
 import kotlin.math.ln
@@ -23,6 +25,7 @@
 private const val GAP_MS = 25.0
 private const val RUN_MS = 1_000L
 private const val LOAD_MS = 250L
+private const val STATE_MS = 1_000L
 
 private class Engine(
     val name: String,
@@ -32,6 +35,8 @@
     val pins = HashMap<Int, Int>()
     val popularity = Popularity()
     val load: Int get() = pins.values.sum()
+    var victimRate = 0.0
+    var statedAt = -STATE_MS
 }
 
 private class Simulation(
@@ -42,6 +47,7 @@
     private val routing = routingPolicy(policy, Random(seed + 1))
     private val engines = (1..ENGINES).map { Engine("t$it") }
     private val ends = PriorityQueue<Triple<Long, Engine, Int>>(compareBy { it.first })
+    private var clock = 0L
     private val rank = IntArray(ADAPTERS) { it }
     private val cumulative = (1..ADAPTERS).runningFold(0.0) { sum, at -> sum + 1 / at.toDouble().pow(1.1) }.drop(1)
 
@@ -74,10 +80,12 @@
         now: Long,
     ): Boolean {
         while (ends.isNotEmpty() && ends.peek().first <= now) finish(ends.poll())
+        clock = now
         val engine = target(adapter)
         engine.popularity.record("$adapter", now)
         val stalls = adapter !in engine.loaded
         if (stalls && engine.loaded.size >= SLOTS) victimOrNull(engine, now)?.let { engine.loaded.remove(it) }
+        if (stalls) engine.statedAt = now - STATE_MS
         engine.loaded[adapter] = now
         engine.pins.merge(adapter, 1, Int::plus)
         ends.add(Triple(now + RUN_MS + if (stalls) LOAD_MS else 0, engine, adapter))
@@ -97,7 +105,20 @@
     private fun view(
         engine: Engine,
         adapter: Int,
-    ) = TargetView(engine.name, adapter in engine.loaded, false, engine.load, PLACES)
+    ) = TargetView(engine.name, adapter in engine.loaded, false, engine.load, PLACES, victimRate = victimRate(engine))
+
+    /** Owners tell the rate after each load and each second, so what others know of it lags. */
+    private fun victimRate(engine: Engine): Double {
+        if (clock - engine.statedAt >= STATE_MS) {
+            engine.statedAt = clock
+            val rates =
+                engine.loaded.keys
+                    .filter { it !in engine.pins }
+                    .map { engine.popularity.rate("$it", clock) }
+            engine.victimRate = if (engine.loaded.size < SLOTS) 0.0 else rates.minOrNull() ?: Double.POSITIVE_INFINITY
+        }
+        return engine.victimRate
+    }
 
     /** Baselines evict the least recently used adapter. */
     private fun victimOrNull(
@@ -139,17 +160,41 @@
     this[a] = this[b].also { this[b] = this[a] }
 }
 
+/** Outcome at one seed: the share of requests that wait for a load under each policy, and the offline bound. */
+private class Outcome(
+    seed: Long,
+) {
+    val shares = Policy.entries.associateWith { Simulation(it, seed).stallShare() }
+    val bound = offlineShare(seed)
+    val ours = shares.getValue(Policy.Ours)
+    val bestBaseline = shares.filterKeys { it != Policy.Ours }.values.min()
+
+    init {
+        println("PolicySimulationSpec: seed $seed, share of requests that wait for a load: $shares")
+        println("PolicySimulationSpec: offline bound $bound, ratio ${ours / bound}, to the best baseline ${ours / bestBaseline}")
+    }
+}
+
+private const val BOUND_GOAL = "at most 1.25 times the load stalls of the offline bound at each of three seeds"
+private const val BASELINE_GOAL = "under half of the load stalls of the best simple baseline at each of three seeds"
+
 class PolicySimulationSpec :
     FunSpec({
+        val outcomes by lazy { listOf(20_261_204L, 7L, 99L).map { Outcome(it) } }
+
         test("fewer requests wait for a load than with random, least loaded or plain hash routing, at each of three seeds") {
-            listOf(20_261_204L, 7L, 99L).forEach { seed ->
-                val shares = Policy.entries.associateWith { Simulation(it, seed).stallShare() }
-                println("PolicySimulationSpec: seed $seed, share of requests that wait for a load: $shares")
-                val bound = offlineShare(seed)
-                println("PolicySimulationSpec: offline bound $bound, ratio ${shares.getValue(Policy.Ours) / bound}")
-                // The goal of the design page is 1.25; the ratio measured is about 1.42, and this keeps it from rising unnoticed.
-                shares.getValue(Policy.Ours) shouldBeLessThan 1.5 * bound
-                shares.getValue(Policy.Ours) shouldBeLessThan shares.filterKeys { it != Policy.Ours }.values.min()
+            outcomes.forEach {
+                // The ratios measured are 1.32 to 1.33; this keeps them from rising unnoticed while the goals below are missed.
+                it.ours shouldBeLessThan 1.36 * it.bound
+                it.ours shouldBeLessThan it.bestBaseline
             }
         }
+
+        test(BOUND_GOAL).config(enabled = !isKnownRed(BOUND_GOAL)) {
+            outcomes.forEach { it.ours shouldBeLessThanOrEqual 1.25 * it.bound }
+        }
+
+        test(BASELINE_GOAL).config(enabled = !isKnownRed(BASELINE_GOAL)) {
+            outcomes.forEach { it.ours shouldBeLessThan 0.5 * it.bestBaseline }
+        }
     })
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/OwnedTarget.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/OwnedTarget.kt
@@ -342,9 +342,15 @@
             queue.size,
             facts.record.maxRunning,
             facts.record.slots,
+            victimRateOrNull(),
         )
     }
 
+    private fun victimRateOrNull(): Double? = when {
+        slots.occupied < facts.record.slots -> 0.0
+        else -> slots.idle(foreignPins(), popularity, env.now(), queue::isWanted).minOfOrNull { it.ratePerSecond }
+    }
+
     fun dump(): OwnedTargetDump = lock.withLock {
         OwnedTargetDump(
             name,
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/Router.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/Router.kt
@@ -184,6 +184,7 @@
             state.running + state.queued + known.sent.get(),
             record.maxRunning,
             isReachable,
+            state.victimRate ?: Double.POSITIVE_INFINITY,
         )
     }
 
