Bound the memory of the front under hostile callers

Cause: the front held up to 32 MiB of bodies, and outside that count pipelined requests without a bound (the whole of a 64 KiB read), half-received heads, whole answers that callers did not read, and up to 64 chunks per stream between its parts. Slow writers could keep the memory, and idle connections the connection slots, from all others. A deeply nested JSON body overflowed the parser's memory. A refusal of a broken pipelined request could take the place of an earlier request's answer.

Change: one budget (maxBufferedBytes) counts every received byte, each queued request and each whole answer being written. From three quarters on, the connection that has waited longest for its caller is ended; at maxConnections it makes room for the new one. Streams have no queue between the sockets besides the client's read-ahead, which has a bound for all calls (readAheadBytes). writeTimeoutMs ends answers that are not read. JSON bodies have bounds of values and nesting, and only two large ones are parsed at once. Refusals follow the answers to the requests before them.

A flood of connections on a busy machine can still close a new connection of another caller before its request is read; that caller has to try again.

--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/CompletionBody.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/CompletionBody.kt
@@ -30,6 +30,7 @@
     defaultMaxTokens: Int,
     seed: Int,
 ): Result<CompletionBody, String> {
+    shapeFindingOrNull(bytes)?.let { return Err(it) }
     val json =
         try {
             Json.parseToJsonElement(bytes.decodeToString(throwOnInvalidSequence = true)) as? JsonObject
@@ -51,3 +52,30 @@
 }
 
 private fun count(value: JsonElement?): Int? = (value as? JsonPrimitive)?.takeIf { !it.isString }?.intOrNull
+
+/** Values of a body; a value takes about 100 bytes once parsed. */
+private const val MAX_VALUES = 50_000
+
+/** Nested arrays and objects; the parser and the writer recurse. */
+private const val MAX_DEPTH = 64
+
+/** Counts values and nesting without parsing, because a body of brackets or commas takes up to 40 times its size once parsed. */
+private fun shapeFindingOrNull(bytes: ByteArray): String? {
+    var values = 0
+    var depth = 0
+    var isText = false
+    var isEscaped = false
+    for (b in bytes) {
+        val c = b.toInt().toChar()
+        when {
+            isEscaped -> isEscaped = false
+            isText && c == '\\' -> isEscaped = true
+            c == '"' -> isText = !isText
+            isText -> Unit
+            c == '[' || c == '{' -> if (++depth > MAX_DEPTH) return "the body is nested more than $MAX_DEPTH levels deep"
+            c == ']' || c == '}' -> depth--
+            c == ',' -> if (++values > MAX_VALUES) return "the body has more than $MAX_VALUES values"
+        }
+    }
+    return null
+}
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/ModelCalls.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/ModelCalls.kt
@@ -3,6 +3,7 @@
  */
 package io.skylarkstile.entry.front
 
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.skylarkstile.core.dispatch.DispatchEvent
@@ -18,14 +19,18 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.buffer
 import kotlinx.coroutines.flow.catch
 import kotlinx.coroutines.flow.channelFlow
 import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.flow.produceIn
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.sync.withPermit
 import java.io.ByteArrayOutputStream
 
 private val log = KotlinLogging.logger {}
@@ -44,6 +49,8 @@
     private val settings: ModelCallSettings,
     private val clock: () -> Long,
 ) {
+    private val largeBodies = Semaphore(LARGE_BODIES_AT_ONCE)
+
     suspend fun answer(
         request: HttpRequest,
         ids: RequestIds,
@@ -51,7 +58,7 @@
         snapshot: Snapshot,
     ): HttpAnswer {
         val body =
-            parseCompletion(request.body, settings.defaultMaxTokens, ids.requestId.hashCode() and Int.MAX_VALUE)
+            parse(request.body, ids.requestId.hashCode() and Int.MAX_VALUE)
                 .getOrElse { return badRequest(it).answer(ids.requestId) }
         val model =
             snapshot.resolveModelOrNull(body.model, caller.workspaceOrNull)
@@ -71,6 +78,15 @@
         return run(dispatch(request, ids, body, model, weight), ids, caller, model, admitted)
     }
 
+    private suspend fun parse(
+        body: ByteArray,
+        seed: Int,
+    ): Result<CompletionBody, String> = if (body.size <= SMALL_BODY_BYTES) {
+        parseCompletion(body, settings.defaultMaxTokens, seed)
+    } else {
+        largeBodies.withPermit { parseCompletion(body, settings.defaultMaxTokens, seed) }
+    }
+
     private fun dispatch(
         request: HttpRequest,
         ids: RequestIds,
@@ -201,6 +217,10 @@
 
     private companion object {
         const val OK = 200
+
+        /** A parsed body takes many times its bytes, so only a few large ones are parsed at once. */
+        const val LARGE_BODIES_AT_ONCE = 2
+        const val SMALL_BODY_BYTES = 16_384
     }
 }
 
@@ -227,7 +247,7 @@
         }
     source.join()
     if (!signal.isCompleted) watcher.cancel()
-}
+}.buffer(Channel.RENDEZVOUS) // A caller that does not read holds back its target instead of filling a queue.
 
 private fun unknownModel(model: String) = notFound("there is no model '${model.take(MAX_SHOWN)}' for this key")
 
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/EntryInstance.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/EntryInstance.kt
@@ -78,7 +78,7 @@
 ) {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val registry = PrometheusRegistry()
-    private val http = httpClient(settings.target.connectTimeoutMs.toLong())
+    private val http = httpClient(settings.target.connectTimeoutMs.toLong(), settings.http.readAheadBytes)
     private val store = objectStore(settings.platform.address, http, settings.platform.timeoutMs.toLong())
     private val running = RunningCalls()
     private val cluster: ClusterService =
@@ -217,7 +217,9 @@
         maxConnections = settings.http.maxConnections,
         maxHeaderBytes = settings.http.maxHeaderBytes,
         maxBodyBytes = settings.http.maxBodyBytes,
+        maxBufferedBytes = settings.http.maxBufferedBytes,
         readTimeoutMs = settings.http.readTimeoutMs.toLong(),
+        writeTimeoutMs = settings.http.writeTimeoutMs.toLong(),
         idleTimeoutMs = settings.http.idleTimeoutMs.toLong(),
     )
 
--- a/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/ClientConnection.kt
+++ b/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/ClientConnection.kt
@@ -19,6 +19,7 @@
 
 internal class ClientConnection(
     val channel: Channel,
+    private val ahead: ReadAhead,
 ) : ChannelInboundHandlerAdapter() {
     @Volatile
     private var call: ClientCall? = null
@@ -53,7 +54,16 @@
         of: ClientCall,
         bytes: Int,
     ) {
-        if (of.buffered.addAndGet(-bytes) < LOW_BYTES && !channel.config().isAutoRead) channel.config().isAutoRead = true
+        val left = of.buffered.addAndGet(-bytes)
+        ahead.add(-bytes)
+        val isBehind = left > 0 && (left >= LOW_BYTES || ahead.isFull)
+        if (!isBehind && !channel.config().isAutoRead) channel.config().isAutoRead = true
+    }
+
+    /** Is told that nothing more of the body is wanted. */
+    fun abandoned(of: ClientCall) = channel.eventLoop().execute {
+        of.isAbandoned = true
+        ahead.add(-of.buffered.getAndSet(0))
     }
 
     override fun channelRead(
@@ -108,9 +118,11 @@
         content: HttpContent,
     ) {
         val n = content.content().readableBytes()
-        if (n == 0 || !open.head.isCompleted) return
+        if (n == 0 || !open.head.isCompleted || open.isAbandoned) return
+        ahead.add(n)
+        // Reading stops before the part is handed over, so that the collector of the last part always starts it again.
+        if (open.buffered.addAndGet(n) > HIGH_BYTES || ahead.isFull) channel.config().isAutoRead = false
         open.parts.trySend(ByteBufUtil.getBytes(content.content()))
-        if (open.buffered.addAndGet(n) > HIGH_BYTES) channel.config().isAutoRead = false
     }
 
     private fun finish(open: ClientCall) {
--- a/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/NettyHttpClient.kt
+++ b/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/NettyHttpClient.kt
@@ -8,6 +8,7 @@
 import com.github.michaelbull.result.Result
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.Unpooled
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -26,12 +27,33 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedDeque
+import java.util.concurrent.atomic.AtomicLong
 
-/** Creates a client that gives up connecting after [connectTimeoutMs] milliseconds. */
-fun httpClient(connectTimeoutMs: Long): HttpClient = NettyHttpClient(connectTimeoutMs.toInt())
+/**
+ * Creates a client that gives up connecting after [connectTimeoutMs] milliseconds. While [readAheadBytes] bytes of answers wait for their
+ * collectors, each call reads on only when its collector has taken everything.
+ */
+fun httpClient(
+    connectTimeoutMs: Long,
+    readAheadBytes: Long = Long.MAX_VALUE,
+): HttpClient = NettyHttpClient(connectTimeoutMs.toInt(), ReadAhead(readAheadBytes))
+
+/** Counts the bytes of answers that wait for their collectors, over all calls of a client. */
+internal class ReadAhead(
+    private val maxBytes: Long,
+) {
+    private val bytes = AtomicLong()
+
+    val isFull: Boolean get() = bytes.get() > maxBytes
+
+    fun add(n: Int) {
+        bytes.addAndGet(n.toLong())
+    }
+}
 
 internal class NettyHttpClient(
     connectTimeoutMs: Int,
+    private val ahead: ReadAhead,
 ) : HttpClient {
     private val idle = ConcurrentHashMap<String, ConcurrentLinkedDeque<ClientConnection>>()
 
@@ -44,12 +66,13 @@
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, AdaptiveRecvByteBufAllocator(READ_MIN_BYTES, READ_FIRST_BYTES, READ_MAX_BYTES))
             .handler(
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
                         channel.pipeline().addLast(
                             HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
-                            ClientConnection(channel),
+                            ClientConnection(channel, ahead),
                         )
                     }
                 },
@@ -153,6 +176,7 @@
             whole = call.complete
             if (!whole) throw HttpBodyException("$address broke off its answer")
         } finally {
+            connection.abandoned(call)
             if (whole && call.reusable) release(address, connection) else connection.channel.close()
         }
     }
@@ -210,6 +234,11 @@
         const val MAX_LINE_BYTES = 8_192
         const val MAX_HEADER_BYTES = 65_536
         const val MAX_CHUNK_BYTES = 65_536
+
+        /** Largest part of an answer that a call holds when it may not read ahead. */
+        const val READ_MAX_BYTES = 16_384
+        const val READ_FIRST_BYTES = 2_048
+        const val READ_MIN_BYTES = 64
         const val MAX_IDLE = 32
         val BODILESS = setOf("GET", "HEAD", "DELETE", "OPTIONS")
     }
@@ -236,6 +265,9 @@
 
     @Volatile
     var reusable = false
+
+    /** Used on the event loop only. */
+    var isAbandoned = false
     val buffered =
         java.util.concurrent.atomic
             .AtomicInteger()
--- a/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/NettyHttpServer.kt
+++ b/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/NettyHttpServer.kt
@@ -4,6 +4,7 @@
 package io.skylarkstile.transport.http
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -21,8 +22,8 @@
 import kotlinx.coroutines.delay
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
-import java.util.concurrent.atomic.AtomicLong
 
 /**
  * Starts a server on [address] (`ip:port`, port 0 for a free one).
@@ -41,13 +42,14 @@
 ) : HttpServer {
     val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     val active = AtomicInteger()
-    val bufferedBytes = AtomicLong()
+    val memory = MemoryBudget(limits.maxBufferedBytes)
 
     @Volatile
     var draining = false
         private set
 
     private val connections = ConcurrentHashMap.newKeySet<ServerConnection>()
+    private val relieving = AtomicBoolean()
     private lateinit var listener: Channel
 
     override val address: String get() = (listener.localAddress() as InetSocketAddress).text()
@@ -60,7 +62,10 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WriteBufferWaterMark(WRITE_LOW_BYTES, WRITE_HIGH_BYTES))
+                .childOption(
+                    ChannelOption.RECVBUF_ALLOCATOR,
+                    AdaptiveRecvByteBufAllocator(READ_MIN_BYTES, READ_FIRST_BYTES, READ_MAX_BYTES),
+                ).childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WriteBufferWaterMark(WRITE_LOW_BYTES, WRITE_HIGH_BYTES))
                 .childHandler(initializer())
                 .bind(socketAddress(address))
                 .sync()
@@ -89,11 +94,22 @@
         scope.cancel()
     }
 
+    /** Ends the connection whose request or answer has been stalled for longest, so that slow callers do not keep the memory from others. */
+    fun relieve() {
+        if (!memory.isTight || !relieving.compareAndSet(false, true)) return
+        val slowest = connections.filter { it.isStalled }.minByOrNull { it.since }
+        if (slowest == null) relieving.set(false) else slowest.giveUp { relieving.set(false) }
+    }
+
     private fun initializer() = object : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
             if (connections.size >= limits.maxConnections) {
-                channel.close()
-                return
+                val longest = connections.filter { it.isBetweenAnswers || it.isStalled }.minByOrNull { it.since }
+                if (longest == null) {
+                    channel.close()
+                    return
+                }
+                longest.giveUp()
             }
             val connection = ServerConnection(this@NettyHttpServer, channel)
             connections.add(connection)
@@ -113,6 +129,11 @@
         const val BACKLOG = 1_024
         const val MAX_LINE_BYTES = 8_192
         const val MAX_CHUNK_BYTES = 65_536
+
+        /** A half-received line keeps the buffer of its read, so reads are small. */
+        const val READ_MAX_BYTES = 8_192
+        const val READ_FIRST_BYTES = 2_048
+        const val READ_MIN_BYTES = 64
         const val WRITE_LOW_BYTES = 32_768
         const val WRITE_HIGH_BYTES = 65_536
         const val DRAIN_POLL_MS = 10L
--- a/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/RequestTimer.kt
+++ b/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/RequestTimer.kt
@@ -4,6 +4,7 @@
  */
 package io.skylarkstile.transport.http
 
+import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.util.concurrent.ScheduledFuture
@@ -12,6 +13,8 @@
 internal class RequestTimer(
     private val readTimeoutMs: Long,
     private val idleTimeoutMs: Long,
+    /** Is asked whether this many more bytes may be held; they are dropped otherwise. */
+    private val admit: (Int) -> Boolean,
 ) : ChannelInboundHandlerAdapter() {
     private enum class State { IDLE, RECEIVING, ANSWERING }
 
@@ -32,7 +35,7 @@
             state = State.RECEIVING
             arm(readTimeoutMs)
         }
-        ctx.fireChannelRead(message)
+        if (message is ByteBuf && !admit(message.readableBytes())) message.release() else ctx.fireChannelRead(message)
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
--- a/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/ServerConnection.kt
+++ b/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/ServerConnection.kt
@@ -39,14 +39,39 @@
     private val server: NettyHttpServer,
     private val channel: Channel,
 ) : ChannelInboundHandlerAdapter() {
-    val timer = RequestTimer(server.limits.readTimeoutMs, server.limits.idleTimeoutMs)
+    val timer = RequestTimer(server.limits.readTimeoutMs, server.limits.idleTimeoutMs, ::admit)
 
     private var head: NettyRequest? = null
     private var body = ByteArrayOutputStream(0)
+
+    /** Bytes taken from the memory budget for the request that is arriving. */
     private var held = 0L
     private val waiting = ArrayDeque<Received>()
     private var job: Job? = null
-    private var rejected = false
+
+    /** Answer to the request that could not be received; it follows the answers to the requests before it, and nothing is read after it. */
+    private var rejection: HttpResponseStatus? = null
+
+    /** Time of the last change of state on the clock of [System.nanoTime]; read by other threads. */
+    @Volatile
+    var since = System.nanoTime()
+        private set
+
+    @Volatile
+    private var state = State.IDLE
+
+    private enum class State { IDLE, RECEIVING, ANSWERING, WRITING }
+
+    /** Whether the server has chosen this connection for [giveUp], so that it is not chosen twice. */
+    @Volatile
+    private var isChosen = false
+
+    /** Returns whether the connection waits for its caller's next request, or for the rest of it. */
+    val isBetweenAnswers: Boolean get() = !isChosen && (state == State.IDLE || state == State.RECEIVING)
+
+    /** Returns whether the connection has held memory for some time while it waits for its caller. */
+    val isStalled: Boolean get() =
+        !isChosen && (state == State.RECEIVING || state == State.WRITING) && System.nanoTime() - since > STALL_MS * NANOS_PER_MS
 
     private class Received(
         val head: NettyRequest,
@@ -59,7 +84,7 @@
         message: Any,
     ) {
         try {
-            if (!rejected && message is HttpObject) accept(message)
+            if (rejection == null && message is HttpObject) accept(message)
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -67,10 +92,9 @@
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
         job?.cancel(CancellationException("the caller closed the connection"))
-        waiting.forEach { server.bufferedBytes.addAndGet(-it.held) }
+        waiting.forEach { server.memory.release(it.held) }
         waiting.clear()
-        server.bufferedBytes.addAndGet(-held)
-        held = 0
+        releaseHeld()
     }
 
     @Deprecated("Netty's name for this event")
@@ -91,17 +115,55 @@
         channel.eventLoop().execute { if (job == null && head == null && waiting.isEmpty()) channel.close() }
     }
 
+    /** Ends the connection unless it has moved on; a request that has not fully arrived gets a 503. [done] runs in any case. */
+    fun giveUp(done: () -> Unit = {}) {
+        isChosen = true
+        channel.eventLoop().execute {
+            when (state) {
+                State.RECEIVING -> reject(HttpResponseStatus.SERVICE_UNAVAILABLE)
+                State.IDLE, State.WRITING -> channel.close()
+                State.ANSWERING -> isChosen = false
+            }
+            done()
+        }
+    }
+
+    private fun enter(next: State) {
+        state = next
+        since = System.nanoTime()
+    }
+
+    /** Takes memory for [bytes] bytes that have arrived; returns whether they may be read. */
+    private fun admit(bytes: Int): Boolean {
+        if (rejection != null) return false
+        if (state == State.IDLE) enter(State.RECEIVING)
+        if (!take(bytes.toLong())) return false
+        held += bytes
+        return true
+    }
+
+    private fun take(bytes: Long): Boolean {
+        val taken = server.memory.tryTake(bytes)
+        if (!taken) reject(HttpResponseStatus.SERVICE_UNAVAILABLE)
+        server.relieve()
+        return taken
+    }
+
+    private fun releaseHeld() {
+        server.memory.release(held)
+        held = 0
+    }
+
     private fun accept(message: HttpObject) {
         if (message.decoderResult().isFailure) return reject(statusOf(message.decoderResult().cause()))
         if (message is NettyRequest) begin(message)
-        if (message is HttpContent && !rejected) append(message)
-        if (message is LastHttpContent && !rejected) complete()
+        if (message is HttpContent && rejection == null) append(message)
+        if (message is LastHttpContent && rejection == null) complete()
     }
 
     private fun begin(request: NettyRequest) {
         head = request
         body = ByteArrayOutputStream(0)
-        held = 0
         if (HttpUtil.getContentLength(request, 0L) > server.limits.maxBodyBytes) return reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
         if (HttpUtil.is100ContinueExpected(request)) {
             channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER))
@@ -111,16 +173,14 @@
     private fun append(content: HttpContent) {
         val n = content.content().readableBytes()
         if (n == 0) return
-        held += n
-        val total = server.bufferedBytes.addAndGet(n.toLong())
-        if (held > server.limits.maxBodyBytes) return reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
-        if (total > server.limits.maxBufferedBytes) return reject(HttpResponseStatus.SERVICE_UNAVAILABLE)
+        if (body.size() + n > server.limits.maxBodyBytes) return reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
         body.write(ByteBufUtil.getBytes(content.content()))
     }
 
     private fun complete() {
         val request = head ?: return
-        waiting.addLast(Received(request, body.toByteArray(), held))
+        if (!take(REQUEST_BYTES)) return
+        waiting.addLast(Received(request, body.toByteArray(), held + REQUEST_BYTES))
         head = null
         held = 0
         body = ByteArrayOutputStream(0)
@@ -132,17 +192,20 @@
     private fun next() {
         val received = waiting.removeFirstOrNull()
         if (received == null) {
+            rejection?.let { return writeRejection(it) }
+            enter(if (head == null) State.IDLE else State.RECEIVING)
             timer.idle()
             if (server.draining) channel.close()
             return
         }
-        channel.config().isAutoRead = true
+        enter(State.ANSWERING)
+        if (rejection == null) channel.config().isAutoRead = true
         server.active.incrementAndGet()
         val running = server.scope.launch { answer(received) }
         job = running
         running.invokeOnCompletion {
             server.active.decrementAndGet()
-            server.bufferedBytes.addAndGet(-received.held)
+            server.memory.release(received.held)
             channel.eventLoop().execute {
                 job = null
                 if (channel.isActive) next()
@@ -155,11 +218,12 @@
         try {
             val answer = runHandler(received)
             started = true
-            write(received.head, answer)
+            holding(answer) { write(received.head, it) }
         } catch (e: CancellationException) {
             channel.close()
             throw e
-        } catch (e: Exception) {
+        } catch (e: Throwable) {
+            // Errors such as a full heap count too: a connection that stays open without an answer keeps its caller waiting.
             if (!started) log.warn(e) { "answering failed" } else log.debug { "an answer broke off: ${e.message}" }
             channel.close()
         }
@@ -201,36 +265,66 @@
         if (close) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         channel.write(response)
         if (answer.length == null) channel.flush()
-        if (request.method().name() != "HEAD") answer.body.collect { send(it) }
-        withTimeout(WRITE_TIMEOUT_MS) { channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).awaitDone() }
+        if (request.method().name() != "HEAD") answer.body.collect { waitForCaller { send(it) } }
+        waitForCaller { channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).awaitDone() }
         if (close) channel.close()
     }
 
+    /** Counts a whole answer as held until [write] has ended; an answer for which there is no memory is replaced by an error. */
+    private suspend fun holding(
+        answer: HttpAnswer,
+        write: suspend (HttpAnswer) -> Unit,
+    ) {
+        val bytes = answer.length ?: return write(answer)
+        val taken = server.memory.tryTake(bytes)
+        server.relieve()
+        if (!taken) return write(wholeAnswer(503, PROBLEM_TYPE, problem(HttpResponseStatus.SERVICE_UNAVAILABLE, "unknown").toByteArray()))
+        try {
+            write(answer)
+        } finally {
+            server.memory.release(bytes)
+        }
+    }
+
+    private suspend fun waitForCaller(work: suspend () -> Unit) {
+        enter(State.WRITING)
+        withTimeout(server.limits.writeTimeoutMs) { work() }
+        enter(State.ANSWERING)
+    }
+
     /** Writes one part and waits until the socket has taken it, so that a slow reader slows down its own answer only. */
-    private suspend fun send(part: ByteArray) =
-        withTimeout(WRITE_TIMEOUT_MS) { channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(part))).awaitDone() }
+    private suspend fun send(part: ByteArray) {
+        for (from in part.indices step WRITE_BYTES) {
+            val slice = Unpooled.wrappedBuffer(part, from, minOf(WRITE_BYTES, part.size - from))
+            channel.writeAndFlush(DefaultHttpContent(slice)).awaitDone()
+        }
+    }
 
     private fun reject(status: HttpResponseStatus) {
-        rejected = true
-        server.bufferedBytes.addAndGet(-held)
-        held = 0
-        val text =
-            Unpooled.copiedBuffer(
-                """{"type":"about:blank","title":"${status.reasonPhrase()}","status":${status.code()},"outcome":"not-run"}""",
-                Charsets.UTF_8,
-            )
+        if (rejection != null) return
+        rejection = status
+        head = null
+        body = ByteArrayOutputStream(0)
+        releaseHeld()
+        if (job == null) writeRejection(status)
+    }
+
+    private fun writeRejection(status: HttpResponseStatus) {
+        val text = Unpooled.copiedBuffer(problem(status, "not-run"), Charsets.UTF_8)
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, text)
-        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/problem+json")
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, PROBLEM_TYPE)
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         HttpUtil.setContentLength(response, text.readableBytes().toLong())
-        val running = job
-        if (running == null) {
-            channel.writeAndFlush(response).addListener { channel.close() }
-        } else {
-            running.invokeOnCompletion { channel.writeAndFlush(response).addListener { channel.close() } }
-        }
+        channel.writeAndFlush(response).addListener { channel.close() }
+        // Closes the connection when the caller does not take this answer.
+        timer.idle()
     }
 
+    private fun problem(
+        status: HttpResponseStatus,
+        outcome: String,
+    ) = """{"type":"about:blank","title":"${status.reasonPhrase()}","status":${status.code()},"outcome":"$outcome"}"""
+
     private fun statusOf(cause: Throwable): HttpResponseStatus = when (cause) {
         is TooLongHttpLineException -> HttpResponseStatus.REQUEST_URI_TOO_LONG
         is TooLongHttpHeaderException -> HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
@@ -242,7 +336,14 @@
         /** Requests queued behind the running one before reading stops. */
         const val MAX_PIPELINED = 8
 
-        /** A reader that takes nothing for this long loses its connection. */
-        const val WRITE_TIMEOUT_MS = 30_000L
+        /** Callers that read and write without pause stay below this even on a busy machine; cutting one off would cost it its answer. */
+        const val STALL_MS = 250L
+
+        /** What a queued request takes beside its bytes. */
+        const val REQUEST_BYTES = 1_024L
+
+        /** Netty copies each written part to memory outside the heap, so large answers are written in parts. */
+        const val WRITE_BYTES = 65_536
+        const val PROBLEM_TYPE = "application/problem+json"
     }
 }
--- a/skylarkstile-transport/src/test/kotlin/io/skylarkstile/transport/http/HttpServerSpec.kt
+++ b/skylarkstile-transport/src/test/kotlin/io/skylarkstile/transport/http/HttpServerSpec.kt
@@ -6,6 +6,7 @@
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldStartWith
 import io.kotest.matchers.types.shouldBeInstanceOf
@@ -18,6 +19,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
 import java.net.Socket
+import java.util.concurrent.atomic.AtomicLong
 
 private val SMALL =
     HttpServerLimits(maxConnections = 20, maxHeaderBytes = 2_048, maxBodyBytes = 4_096, readTimeoutMs = 300, idleTimeoutMs = 2_000)
@@ -157,6 +159,60 @@
             }
         }
 
+        test("stops asking for a stream that its caller does not read, and ends it after the write timeout") {
+            val emitted = AtomicLong()
+            val over = CompletableDeferred<Unit>()
+            val body =
+                flow {
+                    try {
+                        repeat(2_000) { emit(ByteArray(65_536)).also { emitted.addAndGet(65_536) } }
+                    } finally {
+                        over.complete(Unit)
+                    }
+                }
+            val other = httpServer("127.0.0.1:0", SMALL.copy(writeTimeoutMs = 500)) { HttpAnswer(200, HttpHeaders(), body) }
+            Socket().use { s ->
+                s.receiveBufferSize = 4_096
+                s.connect(socketAddress(other.address))
+                s.getOutputStream().write("GET / HTTP/1.1\r\n\r\n".toByteArray())
+                withTimeout(5_000) { over.await() }
+            }
+            other.close()
+            // What the kernel takes on loopback, far below the 128 MB of the stream.
+            emitted.get() shouldBeLessThan 16L * 1_048_576
+        }
+
+        test("lets a stalled body make room for other callers when the memory for requests is nearly used up") {
+            val small = SMALL.copy(maxBufferedBytes = 10_000, readTimeoutMs = 5_000)
+            val other = httpServer("127.0.0.1:0", small) { wholeAnswer(200, "text/plain", it.body) }
+            val stalled = List(3) { Socket("127.0.0.1", other.address.substringAfter(':').toInt()) }
+            for (s in stalled) {
+                s.getOutputStream().write("POST / HTTP/1.1\r\nContent-Length: 4000\r\n\r\n${"a".repeat(2_700)}".toByteArray())
+                delay(150)
+            }
+            val answer = client.call(other.address, HttpRequest("POST", "/", body = ByteArray(1_000)), 2_000).get()!!
+            answer.bytes().size shouldBe 1_000
+            stalled
+                .first()
+                .apply { soTimeout = 1_000 }
+                .getInputStream()
+                .bufferedReader()
+                .readLine() shouldStartWith "HTTP/1.1 503"
+            stalled.forEach { it.close() }
+            other.close()
+        }
+
+        test("closes the longest idle connection for a new one when a flood holds all connections") {
+            val flood = List(30) { Socket("127.0.0.1", server.address.substringAfter(':').toInt()) }
+            call("POST", "/echo", "during").get()!!.bytes().decodeToString() shouldBe "during"
+            flood.forEach { it.close() }
+        }
+
+        test("answers a broken request only after the requests before it, whose callers would take its refusal for their answer") {
+            val answers = raw("POST /slow HTTP/1.1\r\n\r\nGET /stream HTTP/1.1\r\n\r\nBROKEN\r\n\r\n")
+            Regex("HTTP/1.1 (\\d+)").findAll(answers).map { it.groupValues[1] }.toList() shouldBe listOf("200", "200", "400")
+        }
+
         test("drains without cutting the running answer") {
             val other = httpServer("127.0.0.1:0") { wholeAnswer(200, "text/plain", "done".toByteArray()).also { delay(300) } }
             val result = CompletableDeferred<String>()
