Add pages on replacing instances, a platform outage, alerts and the state dump

Cause: operators had one short page on outages, and no alert rules or steps for replacing instances.

OperatingPagesSpec also runs replacing.md, platform-outage.md and state-dump.md; blocks marked `sh outage` run while the store is down and must end with 3, all others still with 0. The operator of that spec answers admin calls as ready instances, which give no dump. MetricsAndEventsPageSpec checks that alert rules use existing metrics and that each alert is explained.

Conclusion: an operator alone finds steps for each alert; the bound of 10 s in RequestsSlow and of 5% in RefusalsHigh are choices, not measurements.

--- a/skylarkstile-ctl/src/test/kotlin/io/skylarkstile/ctl/OperatingPagesSpec.kt
+++ b/skylarkstile-ctl/src/test/kotlin/io/skylarkstile/ctl/OperatingPagesSpec.kt
@@ -1,6 +1,6 @@
 /*
  * Runs every skylarkctl command of docs/operating in order, against examples/cairo in a store in memory. Guards against pages and
- * examples that no longer work.
+ * examples that no longer work. Blocks marked `sh outage` are run while the platform is down.
  */
 package io.skylarkstile.ctl
 
@@ -18,8 +18,9 @@
 import kotlin.io.path.writeText
 
 private val root: Path = Path.of("..")
-private val pages = listOf("first-start.md", "workspaces.md", "keys.md", "versions.md", "targets.md")
-private val block = Regex("```(ini|sh)\n(.*?)```", RegexOption.DOT_MATCHES_ALL)
+private val pages =
+    listOf("first-start.md", "workspaces.md", "keys.md", "versions.md", "targets.md", "replacing.md", "platform-outage.md", "state-dump.md")
+private val block = Regex("```(ini|sh|sh outage)\n(.*?)```", RegexOption.DOT_MATCHES_ALL)
 
 class OperatingPagesSpec :
     FunSpec({
@@ -37,8 +38,8 @@
             else -> listOf(argument)
         }
 
-        test("every command of the operating pages ends with 0") {
-            val operator = Operator()
+        test("every command of the operating pages ends with 0, or with 3 where a page shows an outage") {
+            val operator = Operator(http = ReadyInstances)
             var commands = 0
             operator.call("apply", *files("examples/cairo/records/*.ini").toTypedArray()) shouldBe 0
             operator.call("create-key", "glass-1", "--workspace", "glass-cairo") shouldBe 0
@@ -49,8 +50,9 @@
                         folder.resolve(lines.first().removePrefix("; file: ")).writeText(lines.joinToString("\n"))
                     } else {
                         for (line in lines.filter { it.startsWith("bin/skylarkctl ") }) {
+                            operator.store.down = match.groupValues[1] == "sh outage"
                             val exit = operator.exactly(line.split(' ').drop(1).flatMap(::files))
-                            withClue("$page: $line: ${operator.err}") { exit shouldBe 0 }
+                            withClue("$page: $line: ${operator.err}") { exit shouldBe if (operator.store.down) 3 else 0 }
                             commands++
                         }
                     }
--- a/skylarkstile-ctl/src/test/kotlin/io/skylarkstile/ctl/Operator.kt
+++ b/skylarkstile-ctl/src/test/kotlin/io/skylarkstile/ctl/Operator.kt
@@ -4,6 +4,7 @@
 package io.skylarkstile.ctl
 
 import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import io.skylarkstile.ctl.command.Console
 import io.skylarkstile.ctl.main.run
@@ -11,11 +12,13 @@
 import io.skylarkstile.transport.http.HttpClient
 import io.skylarkstile.transport.http.HttpFailure
 import io.skylarkstile.transport.http.HttpRequest
+import io.skylarkstile.transport.http.wholeAnswer
 import java.nio.file.Files
 import java.nio.file.Path
 
 internal class Operator(
     val store: FakeStore = FakeStore(),
+    private val http: HttpClient = NoHttp,
 ) {
     val out = mutableListOf<String>()
     val err = mutableListOf<String>()
@@ -25,7 +28,7 @@
     suspend fun exactly(args: List<String>): Int {
         out.clear()
         err.clear()
-        return run(args.toTypedArray(), Console(out::add, err::add), NoHttp) { _, _ -> store }.code
+        return run(args.toTypedArray(), Console(out::add, err::add), http) { _, _ -> store }.code
     }
 
     suspend fun apply(text: String): Int = call("apply", file(text).toString())
@@ -37,18 +40,25 @@
         Files.writeString(it, text)
     }.also { it.toFile().deleteOnExit() }
 
-internal object NoHttp : HttpClient {
+internal open class FakeHttp(
+    private val answer: () -> Result<HttpAnswer, HttpFailure>,
+) : HttpClient {
     override suspend fun call(
         address: String,
         request: HttpRequest,
         idleTimeoutMs: Long,
         idempotent: Boolean,
         beforeSend: () -> Boolean,
-    ): Result<HttpAnswer, HttpFailure> = Err(HttpFailure.NotSent("refused"))
+    ) = answer()
 
     override fun close() = Unit
 }
 
+internal object NoHttp : FakeHttp({ Err(HttpFailure.NotSent("refused")) })
+
+/** Instances that are ready and give no dump. */
+internal object ReadyInstances : FakeHttp({ Ok(wholeAnswer(200, "text/plain", "ready".toByteArray())) })
+
 internal val records =
     """
     [workspace glass-cairo]
--- a/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/admin/MetricsAndEventsPageSpec.kt
+++ b/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/admin/MetricsAndEventsPageSpec.kt
@@ -78,6 +78,15 @@
                 listOf("FrontMetrics.kt", "InstanceMetrics.kt")
         }
 
+        test("alert rules use metrics of the page, and each alert is explained") {
+            val alerts = File("../docs/operating/alerts.md").readText()
+            val known = rows("## Metrics", 1).flatten()
+            val used = Regex("""skylarkstile_\w+""").findAll(alerts).map { it.value.removeSuffix("_bucket") }.toSet()
+            (used - known.toSet()).shouldBeEmpty()
+            Regex("""alert: (\w+)""").findAll(alerts).map { it.groupValues[1] }.toList() shouldContainExactlyInAnyOrder
+                Regex("""\n\| `(\w+)` \|""").findAll(alerts).map { it.groupValues[1] }.toList()
+        }
+
         test("the page lists every log event with its level and fields, and no other") {
             val events =
                 sources.values.flatMap { text ->
