Move tokens between instances to keep instead of lending them

Cause: in the trace of FleetUsefulnessSpec, requests of callers that move every 0.5 s were refused while 0.7 to 3.6 unspent borrowed tokens were held by the instances that the callers had just left: loans are kept for up to 350 ms and cannot be lent on. Those instances also kept back 50 ms of their past demand. Asks were spread evenly, also over peers without tokens, and the wait of 50 ms ended with a part of one token missing.

Change: an instance asks for tokens to keep, and keeps room for them in its own capacity from the ask until the answer or for 800 ms. So stock, tokens under way and loans stay at or below the burst, and no settlement is needed. Loans remain for waiting requests that need more than this room. Answers state the peer's fill; the fullest peer is asked ahead, in parts of 100 ms of demand. A lender keeps back nothing for expected requests when requests wait at the asker. The new message fields are optional; an older lender lends instead, and the loan ends by time. The known-red entry is removed and its test is an ordinary one again.

Excess stays at 0 in FleetSafetySpec and ShareAccountPropertySpec, which now also moves tokens to keep.

--- a/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/limit/Amount.kt
+++ b/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/limit/Amount.kt
@@ -17,6 +17,15 @@
     /** Returns the smaller of both values for each good. */
     fun atMost(other: Amount): Amount = Amount(minOf(requests, other.requests), minOf(tokens, other.tokens))
 
+    /** Returns which part of [whole] this is, between 0 and 1; the good with the smaller part counts. */
+    fun partOf(whole: Amount): Double {
+        val part = minOf(requests / whole.requests, tokens / whole.tokens)
+        return if (part > 0.0) minOf(part, 1.0) else 0.0
+    }
+
+    /** Returns the larger of both values for each good. */
+    fun atLeast(other: Amount): Amount = Amount(maxOf(requests, other.requests), maxOf(tokens, other.tokens))
+
     /** Replaces negative values by 0. */
     fun positive(): Amount = Amount(maxOf(requests, 0.0), maxOf(tokens, 0.0))
 
--- a/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/limit/Bucket.kt
+++ b/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/limit/Bucket.kt
@@ -3,12 +3,16 @@
  */
 package io.skylarkstile.core.limit
 
-/** Holds [stock] and [lent] tokens, together at most the capacity. */
+/** Holds [stock] and [lent] tokens and room for [expected] ones, together at most the capacity. */
 internal class Bucket {
     var stock = 0.0
         private set
     var lent = 0.0
         private set
+
+    /** Room kept free for tokens that peers may have sent. */
+    var expected = 0.0
+        private set
     var capacity = 0.0
         private set
     private var perMs = 0.0
@@ -29,7 +33,7 @@
     }
 
     fun refill(elapsedMs: Long) {
-        val room = capacity - lent - stock
+        val room = capacity - lent - expected - stock
         if (room <= 0.0 || elapsedMs <= 0) return
         stock += minOf(room, perMs * elapsedMs)
         note()
@@ -49,6 +53,29 @@
         return given
     }
 
+    /** Removes up to [amount] from stock for good and returns how much. */
+    fun give(amount: Double): Double {
+        val given = minOf(amount, stock).coerceAtLeast(0.0)
+        take(given)
+        return given
+    }
+
+    /** Keeps room for [amount]. */
+    fun expect(amount: Double) {
+        expected += amount
+        note()
+    }
+
+    /** Adds [received] tokens and frees the room of [amount] that was kept for them. */
+    fun receive(
+        amount: Double,
+        received: Double,
+    ) {
+        expected = maxOf(0.0, expected - amount)
+        stock += received.coerceIn(0.0, amount)
+        keepWithinCapacity()
+    }
+
     /** Ends a loan of [amount] of which [returned] comes back. */
     fun endLoan(
         amount: Double,
@@ -81,9 +108,9 @@
     }
 
     private fun keepWithinCapacity() {
-        stock = minOf(stock, maxOf(0.0, capacity - lent))
+        stock = minOf(stock, maxOf(0.0, capacity - lent - expected))
         note()
     }
 
-    private fun note() = headroom.record(capacity - stock - lent + refunded)
+    private fun note() = headroom.record(capacity - stock - lent - expected + refunded)
 }
--- a/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/limit/ShareAccount.kt
+++ b/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/limit/ShareAccount.kt
@@ -2,8 +2,10 @@
  * The share of one instance in the fleet-wide rate and burst of one workspace.
  *
  * With N members each refills at rate/N up to burst/N. Tokens lent to a peer keep occupying the lender's capacity until the borrower
- * settles the loan or [LOAN_MS] have passed since the ask arrived; the borrower stops using them [BORROWED_MS] after its own ask. So at
- * every moment all stocks and all usable loans together are at most the burst, whatever messages are lost.
+ * settles the loan or [LOAN_MS] have passed since the ask arrived; the borrower stops using them [BORROWED_MS] after its own ask.
+ * Tokens given for good are covered by room that the receiver keeps free in its own capacity from its ask until the answer arrives or
+ * [BORROWED_MS] have passed. So at every moment all stocks, all tokens under way and all usable loans together are at most the burst,
+ * whatever messages are lost.
  */
 package io.skylarkstile.core.limit
 
@@ -47,10 +49,16 @@
         var left: Amount,
     )
 
+    private class Arrival(
+        val amount: Amount,
+        val endsAt: Long,
+    )
+
     private val requests = Bucket()
     private val tokens = Bucket()
     private val loans = LinkedHashMap<Pair<String, Long>, Loan>()
     private val lots = ArrayDeque<Lot>()
+    private val arrivals = LinkedHashMap<Long, Arrival>()
     private val settlements = mutableListOf<Settlement>()
     private var refilledTo = startedAt
     private var leasedUntil = startedAt
@@ -64,6 +72,7 @@
 
     val stock: Amount get() = Amount(requests.stock, tokens.stock)
     val lent: Amount get() = Amount(requests.lent, tokens.lent)
+    val expected: Amount get() = Amount(requests.expected, tokens.expected)
     val capacity: Amount get() = Amount(requests.capacity, tokens.capacity)
 
     /** Returns the unspent borrowed amount. */
@@ -90,6 +99,7 @@
         endOldLoans(now)
         dropOldLots(now)
         refillTo(now)
+        dropOldArrivals(now)
         leasedUntil = now + maxOf(0, leaseRemainingMs)
     }
 
@@ -101,6 +111,8 @@
         tokens.empty()
         lots.forEach { settlements += Settlement(it.lender, it.ask, it.left) }
         lots.clear()
+        arrivals.values.forEach { receive(it, Amount.NONE) }
+        arrivals.clear()
     }
 
     /** Returns what can be spent now: nothing without a lease. */
@@ -156,6 +168,51 @@
         return given
     }
 
+    /** Gives up to [wanted] for good but leaves [keep] in stock; gives nothing without a lease. */
+    fun give(
+        now: Long,
+        wanted: Amount,
+        keep: Amount = Amount.NONE,
+    ): Amount {
+        if (now >= leasedUntil) return Amount.NONE
+        val part = wanted.atMost(stock - keep).positive()
+        return Amount(requests.give(part.requests), tokens.give(part.tokens))
+    }
+
+    /** Returns how much may be asked for to be kept. */
+    fun room(): Amount = (capacity - stock.positive() - lent - expected).positive()
+
+    /** Keeps room for [amount], at most [room], asked for as [ask]. */
+    fun expect(
+        now: Long,
+        ask: Long,
+        amount: Amount,
+    ) {
+        requests.expect(amount.requests)
+        tokens.expect(amount.tokens)
+        arrivals[ask] = Arrival(amount, now + BORROWED_MS)
+    }
+
+    /** Adds what was [given] for [ask] to the stock. Tokens without kept room, such as those of a late answer, are lost. */
+    fun received(
+        ask: Long,
+        given: Amount,
+    ) {
+        arrivals.remove(ask)?.let { receive(it, given) }
+    }
+
+    private fun receive(
+        arrival: Arrival,
+        given: Amount,
+    ) {
+        requests.receive(arrival.amount.requests, given.requests)
+        tokens.receive(arrival.amount.tokens, given.tokens)
+    }
+
+    private fun dropOldArrivals(now: Long) {
+        arrivals.values.removeAll { arrival -> (now >= arrival.endsAt).also { if (it) receive(arrival, Amount.NONE) } }
+    }
+
     /** Ends the loan of [ask]; [returned] comes back to stock. A settlement after the end of the loan has no effect. */
     fun settled(
         now: Long,
--- a/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/limit/WorkspaceQuota.kt
+++ b/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/limit/WorkspaceQuota.kt
@@ -15,6 +15,16 @@
     val peers: Set<String>,
 )
 
+/** Answers an ask: the [amount] handed over and the part of the lender's capacity that could still be handed over ([fill], 0 to 1). */
+data class QuotaHandover(
+    val amount: Amount,
+    val fill: Double,
+) {
+    companion object {
+        val NONE = QuotaHandover(Amount.NONE, 0.0)
+    }
+}
+
 /** One request on its way through [WorkspaceQuota]. */
 class QuotaTicket internal constructor(
     val cost: Amount,
@@ -118,10 +128,13 @@
         environment: QuotaEnvironment,
         lender: String,
         ask: Long,
-        amount: Amount,
+        answer: QuotaHandover,
     ): List<QuotaEffect> {
         update(now, environment)
-        planner.answered(now, ask, amount)?.let { account.borrow(now, lender, ask, it, amount) }
+        val amount = answer.amount
+        planner.answered(now, ask, answer)?.let { asked ->
+            if (asked.toKeep) account.received(ask, amount) else account.borrow(now, lender, ask, asked.at, amount)
+        }
         return decide(now, environment)
     }
 
@@ -131,16 +144,23 @@
         ask: Long,
     ) = planner.failed(now, ask)
 
-    /** Lends tokens to [borrower] beyond what the own requests need now. */
+    /**
+     * Gives tokens for good ([toKeep]) or lends them to [borrower], beyond what the own requests need now. Expected requests come before
+     * those that a peer expects, but not before those that already wait there ([urgent]).
+     */
     fun lend(
         now: Long,
         environment: QuotaEnvironment,
         borrower: String,
         ask: Long,
         wanted: Amount,
-    ): Amount {
+        toKeep: Boolean,
+        urgent: Boolean,
+    ): QuotaHandover {
         update(now, environment)
-        return account.lend(now, borrower, ask, wanted, waitingCost + demand.perMs(now) * KEEP_MS)
+        val keep = if (urgent) waitingCost else waitingCost + demand.perMs(now) * KEEP_MS
+        val amount = if (toKeep) account.give(now, wanted, keep) else account.lend(now, borrower, ask, wanted, keep)
+        return QuotaHandover(amount, (account.stock - keep).partOf(account.capacity))
     }
 
     /** Ends a loan to [borrower]. */
@@ -220,38 +240,37 @@
         }
     }
 
+    /**
+     * Asks for tokens to keep, so that the peers' refill is not lost while this instance serves more than its part of the demand. When
+     * the waiting requests need more than there is room for, asks for loans.
+     */
     private fun planAsks(
         now: Long,
         environment: QuotaEnvironment,
     ) {
-        val expected = planner.expected(now)
-        val lacking = waitingCost - account.available(now) - expected
-        val urgent = !lacking.positive().isNothing()
-        val ahead = borrowAhead(now)
-        val held = account.borrowed + expected
-        // Asking only when half of what is borrowed ahead is used up keeps the number of messages low.
-        if (!urgent && (ahead * 0.5 - held).positive().isNothing()) return
-        val need = lacking.positive() + (ahead - held).positive()
-        planner.plan(now, need, environment.peers, urgent).mapTo(effects) { QuotaEffect.Ask(it) }
-    }
-
-    /**
-     * Returns how much should be held in loans: the demand of the next moments beyond the own refill, so that peers with full buckets
-     * waste none of theirs, or the peers' part of the whole demand when the own stock is low, so that all stocks fall evenly.
-     */
-    private fun borrowAhead(now: Long): Amount {
-        val demanded = demand.perMs(now).atMost(limits.perSecond * (1.0 / MS_PER_SECOND)) * horizonMs()
-        val own = 1.0 / maxOf(1, members)
-        val isLow = !account.stock.covers(account.capacity * LOW_STOCK)
-        if (isLow) return demanded * (1 - own)
-        return (demanded - limits.perSecond * (horizonMs() / MS_PER_SECOND * own)).positive()
-    }
-
-    /** Returns how far ahead tokens are borrowed in ms: a part of the time in which the burst refills, within bounds. */
-    private fun horizonMs(): Double {
-        val requestsMs = limits.burst.requests / limits.perSecond.requests * MS_PER_SECOND
-        val tokensMs = limits.burst.tokens / limits.perSecond.tokens * MS_PER_SECOND
-        return (minOf(requestsMs, tokensMs) / 4).coerceIn(MIN_HORIZON_MS, MAX_HORIZON_MS)
+        val held = account.available(now) + planner.expected(now)
+        val lacking = (waitingCost - held).positive()
+        val urgent = !lacking.isNothing()
+        val perMs = demand.perMs(now).atMost(limits.perSecond * (1.0 / MS_PER_SECOND))
+        val room = account.room()
+        val target = (perMs * HORIZON_MS).atMost(account.capacity * TARGET_PART)
+        val wanted = (target - held).positive().atMost(room)
+        val chunk = (perMs * CHUNK_MS).atLeast(account.capacity * CHUNK_PART)
+        val chunks = maxOf(wanted.requests / chunk.requests, wanted.tokens / chunk.tokens).toInt()
+        if (!urgent && chunks == 0) return
+        val toKeep = room.covers(lacking)
+        val need = if (toKeep) wanted.atLeast(lacking) else lacking
+        val refillPerMs = limits.perSecond.partOf(limits.burst) / MS_PER_SECOND
+        val asks =
+            if (urgent) {
+                planner.planUrgent(now, need, environment.peers, refillPerMs, toKeep)
+            } else {
+                planner.planAhead(now, need, environment.peers, refillPerMs, chunks)
+            }
+        asks.forEach {
+            if (it.toKeep) account.expect(now, it.ask, it.amount)
+            effects += QuotaEffect.Ask(it)
+        }
     }
 
     private fun enqueue(ticket: QuotaTicket) {
@@ -300,10 +319,20 @@
         /** Own demand in ms that is not lent; lending it would only be borrowed back. */
         const val KEEP_MS = 50.0
 
-        /** Part of the own capacity below which the stock counts as low. */
-        const val LOW_STOCK = 0.75
-        const val MIN_HORIZON_MS = 60.0
-        const val MAX_HORIZON_MS = 250.0
+        /**
+         * Demand in ms up to which tokens are kept in stock. With 1 s, callers on all instances were refused three times as often, since
+         * an instance did not ask before peers with less demand had lost refill.
+         */
+        const val HORIZON_MS = 2_000.0
+
+        /** Part of the own capacity up to which tokens of peers are asked for; the rest is room for the own refill. */
+        const val TARGET_PART = 0.9
+
+        /** Demand in ms that one ask covers. Larger asks need fewer messages, but the refill of full peers is lost meanwhile. */
+        const val CHUNK_MS = 100.0
+
+        /** Least part of the own capacity that one ask covers, also when demand is low. */
+        const val CHUNK_PART = 0.1
         const val MIN_RETRY_MS = 50L
         const val MAX_RETRY_MS = 60_000L
         const val NO_LEASE_RETRY_MS = 1_000L
--- a/skylarkstile-core/src/test/kotlin/io/skylarkstile/core/limit/FleetSimulation.kt
+++ b/skylarkstile-core/src/test/kotlin/io/skylarkstile/core/limit/FleetSimulation.kt
@@ -212,7 +212,7 @@
         asks++
         val quota = node.quota
         send(byName.getValue(ask.peer)) { lender ->
-            val given = lender.quota.lend(lender.now, lender.environment(), node.name, ask.ask, ask.amount)
+            val given = lender.quota.lend(lender.now, lender.environment(), node.name, ask.ask, ask.amount, ask.toKeep, ask.urgent)
             send(node) {
                 if (node.quota === quota) node.apply(quota.granted(node.now, node.environment(), lender.name, ask.ask, given))
             }
--- a/skylarkstile-core/src/test/kotlin/io/skylarkstile/core/limit/FleetUsefulnessSpec.kt
+++ b/skylarkstile-core/src/test/kotlin/io/skylarkstile/core/limit/FleetUsefulnessSpec.kt
@@ -2,7 +2,6 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.doubles.shouldBeLessThanOrEqual
-import io.skylarkstile.core.isKnownRed
 import kotlin.math.ln
 import kotlin.random.Random
 
@@ -85,7 +84,7 @@
         for ((name, pick) in patterns) {
             for ((label, limits) in mapOf("roomy" to roomy, "tight" to tight)) {
                 val title = "at 95% of a $label rate, $name see at most 0.1% refusals"
-                test(title).config(enabled = !isKnownRed(title)) {
+                test(title) {
                     val results = (1L..3L).map { seed -> measure(seed, limits, pick = pick) }
                     results.forEach { println("$name, $label: $it") }
                     results.sumOf { it.refused }.toDouble() / results.sumOf { it.offered } shouldBeLessThanOrEqual 0.001
--- a/skylarkstile-core/src/test/kotlin/io/skylarkstile/core/limit/ShareAccountPropertySpec.kt
+++ b/skylarkstile-core/src/test/kotlin/io/skylarkstile/core/limit/ShareAccountPropertySpec.kt
@@ -94,7 +94,8 @@
     private fun step() {
         val awake = nodes.filter { it.pausedUntil <= time }
         when (random.nextInt(10)) {
-            in 0..4 -> awake.randomOrNull(random)?.let { borrow(it) }
+            in 0..2 -> awake.randomOrNull(random)?.let { borrow(it) }
+            in 3..4 -> awake.randomOrNull(random)?.let { askToKeep(it) }
             in 5..7 -> awake.randomOrNull(random)?.let { spend(it, random.nextDouble()) }
             8 -> awake.forEach { spend(it, 1.0) }
             else -> awake.randomOrNull(random)?.let { it.account.giveBack(time - random.nextLong(0, 800)) }
@@ -115,6 +116,20 @@
         }
     }
 
+    private fun askToKeep(node: Node) {
+        val lender = nodes.filter { it !== node }.random(random)
+        val number = ask++
+        val account = node.account
+        node.advance()
+        val wanted = account.room() * random.nextDouble()
+        account.expect(time, number, wanted)
+        send(lender) {
+            lender.advance()
+            val given = lender.account.give(time, wanted)
+            send(node) { if (node.account === account) account.received(number, given) }
+        }
+    }
+
     private fun settle(node: Node) = node.account.takeSettlements().forEach { done ->
         val lender = nodes.first { it.name == done.lender }
         send(lender) { lender.account.settled(time, node.name, done.ask, done.returned) }
--- a/skylarkstile-core/src/test/kotlin/io/skylarkstile/core/limit/ShareAccountSpec.kt
+++ b/skylarkstile-core/src/test/kotlin/io/skylarkstile/core/limit/ShareAccountSpec.kt
@@ -39,6 +39,20 @@
             account.stock.requests shouldBe (5.0 plusOrMinus 1e-9)
         }
 
+        test("room kept for tokens under way is not refilled, and an answer after 800 ms adds nothing") {
+            val account = filled()
+            account.reserve(10_000, Amount(10.0, 100.0)).shouldNotBeNull()
+            account.expect(10_000, 1, Amount(8.0, 80.0))
+            account.advance(10_700, 3_000)
+            account.stock.requests shouldBe (2.0 plusOrMinus 1e-9)
+            account.advance(10_800, 3_000)
+            account.received(1, Amount(8.0, 80.0))
+            account.stock.requests shouldBe (2.0 plusOrMinus 1e-9)
+            account.expect(10_800, 2, account.room())
+            account.received(2, Amount(8.0, 80.0))
+            account.stock.requests shouldBe (10.0 plusOrMinus 1e-9)
+        }
+
         test("a borrower does not use a loan 800 ms after its ask") {
             val account = filled()
             account.borrow(10_100, "l", 1, 10_000, Amount(5.0, 0.0))
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/limit/BorrowingLimiter.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/limit/BorrowingLimiter.kt
@@ -14,6 +14,7 @@
 import io.skylarkstile.core.limit.PlannedAsk
 import io.skylarkstile.core.limit.QuotaEffect
 import io.skylarkstile.core.limit.QuotaEnvironment
+import io.skylarkstile.core.limit.QuotaHandover
 import io.skylarkstile.core.limit.QuotaTicket
 import io.skylarkstile.core.limit.Reservation
 import io.skylarkstile.core.limit.Settlement
@@ -190,7 +191,7 @@
     ) {
         counter(workspace).asked()
         scope.launch {
-            val message = QuotaAsk(ask.ask, workspace, ask.amount.requests, ask.amount.tokens)
+            val message = QuotaAsk(ask.ask, workspace, ask.amount.requests, ask.amount.tokens, ask.toKeep, ask.urgent)
             peers.call(ask.peer, MessageKinds.quotaAsk, message, MessageKinds.quotaGrant, BORROWED_MS).fold(
                 success = { granted(workspace, ask, it) },
                 failure = { shards.withQuota(workspace) { quota, now -> quota.askFailed(now, ask.ask) } },
@@ -204,8 +205,9 @@
         grant: QuotaGrant,
     ) {
         val amount = Amount(grant.requests, grant.tokens)
+        val handover = QuotaHandover(amount, grant.fill ?: 1.0)
         counter(workspace).borrowed(amount)
-        decide(workspace) { quota, now, environment -> quota.granted(now, environment, ask.peer, ask.ask, amount) }
+        decide(workspace) { quota, now, environment -> quota.granted(now, environment, ask.peer, ask.ask, handover) }
         wake.trySend(Unit)
     }
 
@@ -224,9 +226,11 @@
     ): QuotaGrant {
         val wanted = Amount(ask.requests, ask.tokens).positive()
         val given =
-            shards.withQuota(ask.workspace) { quota, now -> quota.lend(now, environments.at(now), from, ask.ask, wanted) } ?: Amount.NONE
-        if (!given.isNothing()) counter(ask.workspace).lent(given)
-        return QuotaGrant(ask.ask, given.requests, given.tokens)
+            shards.withQuota(ask.workspace) { quota, now ->
+                quota.lend(now, environments.at(now), from, ask.ask, wanted, ask.toKeep == true, ask.urgent == true)
+            } ?: QuotaHandover.NONE
+        if (!given.amount.isNothing()) counter(ask.workspace).lent(given.amount)
+        return QuotaGrant(ask.ask, given.amount.requests, given.amount.tokens, given.fill)
     }
 
     private fun settled(
