--- a/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/proof/HostileInputProofSpec.kt
+++ b/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/proof/HostileInputProofSpec.kt
@@ -1,5 +1,5 @@
 /*
- * Guards against an instance whose memory hostile callers use up, or that answers nobody else meanwhile. The heap is that of the
+ * Guards against an instance whose memory hostile callers use up, or that answers nobody else meanwhile. The heap is just above that of the
  * formula in section 6 of the design for the settings below.
  */
 package io.skylarkstile.tests.proof
@@ -9,15 +9,15 @@
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldNotContain
+import io.skylarkstile.tests.harness.Ask
+import io.skylarkstile.tests.harness.Caller
 import io.skylarkstile.bench.fleet.ChildProcess
 import io.skylarkstile.bench.fleet.EntryAddresses
 import io.skylarkstile.bench.fleet.Fleet
+import io.skylarkstile.tests.harness.Reply
 import io.skylarkstile.bench.fleet.entryDefaults
 import io.skylarkstile.bench.fleet.freeAddress
 import io.skylarkstile.bench.fleet.writeSettings
-import io.skylarkstile.tests.harness.Ask
-import io.skylarkstile.tests.harness.Caller
-import io.skylarkstile.tests.harness.Reply
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
