Give callers their trace context back and refuse invalid ones

Cause: answers carried x-request-id but no traceparent, and a traceparent of version ff or with an id of zeros was passed on, which W3C Trace Context forbids.

Change: the front adds the traceparent in use to each answer; invalid ones are replaced like malformed ones.

No test follows it through real processes yet, since the stand-ins keep no headers.

--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/Caller.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/Caller.kt
@@ -62,4 +62,6 @@
 private const val BEARER = "Bearer "
 private const val SPAN_DIGITS = 16
 private val REQUEST_ID = Regex("[A-Za-z0-9._:-]{1,128}")
-private val TRACEPARENT = Regex("[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}")
+
+/** The form of version 00 of W3C Trace Context, which forbids the version `ff` and ids that are all zero. */
+private val TRACEPARENT = Regex("(?!ff)[0-9a-f]{2}-(?!0{32})[0-9a-f]{32}-(?!0{16})[0-9a-f]{16}-[0-9a-f]{2}")
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/Front.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/front/Front.kt
@@ -45,7 +45,8 @@
     override suspend fun handle(request: HttpRequest): HttpAnswer {
         val ids = requestIds(request)
         val answer = route(request, ids)
-        return HttpAnswer(answer.status, answer.headers + ("x-request-id" to ids.requestId), answer.body, answer.length)
+        val headers = answer.headers + ("x-request-id" to ids.requestId) + ("traceparent" to ids.traceparent)
+        return HttpAnswer(answer.status, headers, answer.body, answer.length)
     }
 
     private suspend fun route(
--- a/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/ledger/LedgerPartSpec.kt
+++ b/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/ledger/LedgerPartSpec.kt
@@ -41,6 +41,7 @@
 ) : ServiceCaller {
     val executions = ConcurrentHashMap<String, AtomicInteger>()
     val ran: MutableSet<String> = ConcurrentHashMap.newKeySet()
+    val traces: MutableSet<String> = ConcurrentHashMap.newKeySet()
 
     override suspend fun run(
         call: LedgerCall,
@@ -50,6 +51,7 @@
         if (!maySend()) return RunResult.NotSent("no lease")
         executions.computeIfAbsent(call.key) { AtomicInteger() }.incrementAndGet()
         ran += call.requestId
+        traces += "${call.requestId} ${call.traceparent}"
         delay(delayMs)
         return RunResult.Answered(201, "text/plain", "answer to ${call.key}".toByteArray())
     }
@@ -115,6 +117,14 @@
             }
         }
 
+        // Guards against calls that lose their trace at the instance that runs them.
+        test("a call that another instance runs keeps its request id and trace context") {
+            LedgerFleet(2).use {
+                parts[1].calls.call(call("k", id = "r9").copy(traceparent = "trace"))
+                service.traces shouldBe setOf("r9 trace")
+            }
+        }
+
         test("the recorded answer survives a move of the range") {
             LedgerFleet(2).use {
                 parts[0].calls.call(call("k"))
--- a/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/target/ModelDispatcherSpec.kt
+++ b/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/target/ModelDispatcherSpec.kt
@@ -119,6 +119,28 @@
             }
         }
 
+        // Guards against requests that lose their trace at the instance that runs them.
+        test("a request that another instance runs keeps its request id and trace context") {
+            fleet { fleet ->
+                val target = fleet.targetOf("a")
+                val other = fleet.parts.keys.first { it != "e" + target.drop(1) }
+                val request = testRequest("a", "r9", "", 5_000, "w").copy(traceparent = "trace")
+                answerOf(
+                    fleet.parts
+                        .getValue(other)
+                        .dispatcher
+                        .run(request),
+                ).shouldBeWhole("a")
+                val sent =
+                    fleet.engines
+                        .getValue(target)
+                        .calls
+                        .last { it.first == "/v1/completions" }
+                        .second.headers
+                listOf(sent["x-request-id"], sent["traceparent"]) shouldBe listOf("r9", "trace")
+            }
+        }
+
         test("a stream that breaks at the target is continued on another target, with nothing doubled or missing") {
             fleet { fleet ->
                 val target = fleet.targetOf("a")
