--- a/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/fleet/SiteFleet.kt
+++ b/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/fleet/SiteFleet.kt
@@ -53,11 +53,10 @@
         val store = """"loadsPerSecond":${profile.storeLoadsPerSecond},"loadsAtOnce":${profile.storeLoadsAtOnce}"""
         weights.set("""{$store,"adaptersInFlight":${profile.adaptersInFlight},"loadMs":${profile.loadMs}}""")
         writeRecords()
+        keys = profile.workspaces.associate { it.name to fleet.records.key(it.name, it.name) }
         fleet.objects.set("""{"writesPerSecond":$RUN_WRITES_PER_SECOND,"readsPerSecond":2000}""")
         entries = names.mapIndexed { i, name -> fleet.launchEntry(name, dataCentre(i), loadSettings(profile) + overrides) }
         entries.forEach { it.process.awaitReady(READY_TIMEOUT_MS) }
-        // Instances whose first list was at different revisions own no targets until a record changes, so the keys come last.
-        keys = profile.workspaces.associate { it.name to fleet.records.key(it.name, it.name) }
         return this
     }
 
--- a/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/cluster/ClusterCore.kt
+++ b/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/cluster/ClusterCore.kt
@@ -114,11 +114,15 @@
         suspended = false
     }
 
-    /** Takes over the resources of a snapshot; returns what has to be released before the next heartbeat. */
+    /**
+     * Takes over the resources of a snapshot that has not changed up to revision [known]; returns what has to be released before the next
+     * heartbeat.
+     */
     fun refresh(
         resources: List<Resource>,
         snapshot: Long,
-    ): List<Resource> = table.adopt(ownableRoster(), resources, snapshot)
+        known: Long = snapshot,
+    ): List<Resource> = table.adopt(ownableRoster(), resources, snapshot).also { table.knownUpTo(known) }
 
     /** Builds the heartbeat to [peer]. */
     fun heartbeat(
--- a/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/cluster/OwnershipTable.kt
+++ b/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/cluster/OwnershipTable.kt
@@ -49,6 +49,7 @@
     /** Owners at the present roster; ranking all members for each question would be too slow in large clusters. */
     private val owners = HashMap<Resource, String?>()
     private var snapshot = 0L
+    private var known = 0L
     private var sequences = 0L
 
     private fun ownerOrNull(resource: Resource): String? = owners.getOrPut(resource) { roster.ownerOrNull(resource)?.instance }
@@ -72,6 +73,14 @@
         return held.keys.filter { it !in firstSeen || ownerOrNull(it) != self }.onEach { held.remove(it) }
     }
 
+    /**
+     * Notes that the adopted resources are those of all snapshots up to [revision]. Instances that list the platform at different moments
+     * give the same records different revisions, so one may never reach the revision at which another one has first seen a resource.
+     */
+    fun knownUpTo(revision: Long) {
+        known = maxOf(known, revision)
+    }
+
     /** Notes the handles still in use under a released resource. */
     fun drain(
         resource: Resource,
@@ -119,7 +128,7 @@
     /** Returns the roster and snapshot revisions up to which [peer] knows all releases to it. */
     fun statementFor(peer: String): Pair<Long, Long> {
         retarget()
-        if (draining.values.none { it.to == peer && !it.acknowledged }) stated[peer] = roster.revision to snapshot
+        if (draining.values.none { it.to == peer && !it.acknowledged }) stated[peer] = roster.revision to maxOf(snapshot, known)
         return stated[peer] ?: (0L to 0L)
     }
 
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/cluster/ClusterService.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/cluster/ClusterService.kt
@@ -93,6 +93,8 @@
     /** Wall clock in milliseconds, for incarnation numbers only. */
     val wallClock: () -> Long = System::currentTimeMillis,
     val dispatcher: CoroutineDispatcher = Dispatchers.Default,
+    /** Returns the platform revision up to which that snapshot is known not to have changed. */
+    val snapshotKnown: () -> Long = snapshotRevision,
 )
 
 /** Creates the service of the instance of the settings. [incarnation] is the number that [ClusterParts.network] was created with. */
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/cluster/DrivenCluster.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/cluster/DrivenCluster.kt
@@ -49,7 +49,7 @@
     private val network = parts.network
     private val core = GuardedCore(ClusterCore(me, timing))
     private val calls = ClusterCalls(network, parts.store, timing.leaseMs / 3)
-    private val driver = OwnershipDriver(core, parts.snapshotRevision, parts.now)
+    private val driver = OwnershipDriver(core, parts.snapshotRevision, parts.snapshotKnown, parts.now)
     private val watch = LeaseWatch(timing)
     private val listeners = CopyOnWriteArrayList<ClusterListener>()
     private val sendingReleases = ConcurrentHashMap.newKeySet<Long>()
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/cluster/OwnershipDriver.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/cluster/OwnershipDriver.kt
@@ -15,6 +15,7 @@
 internal class OwnershipDriver(
     private val core: GuardedCore,
     private val snapshotRevision: () -> Long,
+    private val snapshotKnown: () -> Long,
     private val now: () -> Long,
 ) {
     private val lock = ReentrantLock()
@@ -57,7 +58,9 @@
 
     /** Takes over the present records, asks for the remaining pins and starts what may be owned now. */
     fun step() = lock.withLock {
-        changing { resources, snapshot -> core.use { it.refresh(resources, snapshot) } }
+        // Read before the resources, which are then at least as new.
+        val known = snapshotKnown()
+        changing { resources, snapshot -> core.use { it.refresh(resources, snapshot, known) } }
         val pinned = core.use { it.stillPinned() }
         draining.keys.retainAll(pinned.toSet())
         pinned.forEach { resource ->
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/EntryInstance.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/main/EntryInstance.kt
@@ -89,7 +89,7 @@
             settings.instance,
             settings.cluster,
             incarnation,
-            ClusterParts(network, store, { snapshots.current().revision }, ::monotonicMs),
+            ClusterParts(network, store, { snapshots.current().revision }, ::monotonicMs, snapshotKnown = { snapshots.known }),
         )
     private val snapshots: SnapshotSync =
         snapshotSync(
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/snapshot/SnapshotKeeper.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/snapshot/SnapshotKeeper.kt
@@ -31,6 +31,9 @@
 
     override fun current(): Snapshot = snapshot
 
+    /** Returns up to which revision [current] is known to be the newest; the lock keeps it from running ahead of [current]. */
+    fun known(): Long = synchronized(lock) { state.known }
+
     override fun onChange(listener: (Snapshot) -> Unit) {
         listeners += listener
     }
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/snapshot/SnapshotSync.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/snapshot/SnapshotSync.kt
@@ -82,6 +82,9 @@
     /** Revision that heartbeats report; that of [current], so whoever reads it first and [current] later sees at least its records. */
     val revision: Long get() = current().revision
 
+    /** Platform revision up to which the records of [current] have not changed; may be higher than [revision]. */
+    val known: Long get() = keeper.known()
+
     /** Registers the message handlers and starts the loops in [scope]. */
     fun start(scope: CoroutineScope) {
         peers.answer(MessageKinds.snapshotPull, MessageKinds.snapshotPush) { _, pull ->
