--- a/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/queue/FairQueue.kt
+++ b/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/queue/FairQueue.kt
@@ -65,6 +65,9 @@
     val size: Int get() = ready.values.sumOf { it.size } + parkedSize
     val parkedSize: Int get() = parked.values.sumOf { it.size }
 
+    /** Returns the models whose requests wait for a load. */
+    fun parkedModels(): Set<String> = parked.filterValues { it.isNotEmpty() }.keys
+
     /** Adds [waiting]; parks it unless its adapter [isLoaded]. [running] and [maxRunning] describe the target, for the expected wait. */
     fun add(
         waiting: Waiting<T>,
--- a/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/OwnedTarget.kt
+++ b/skylarkstile-entry/src/main/kotlin/io/skylarkstile/entry/target/OwnedTarget.kt
@@ -353,7 +353,7 @@
             ++sequence,
             isAccepting,
             slots.models(SlotPhase.Loaded),
-            slots.models(SlotPhase.Loading),
+            loadingModels(),
             running.size,
             queue.size,
             facts.record.maxRunning,
@@ -362,6 +362,9 @@
         )
     }
 
+    /** A load that waits for its permit counts too; otherwise another home loads the same adapter while the store is busy. */
+    private fun loadingModels(): List<String> = (slots.models(SlotPhase.Loading) + queue.parkedModels()).distinct().sorted()
+
     private fun victimRateOrNull(): Double? = when {
         slots.occupied < facts.record.slots -> 0.0
         else -> slots.idle(foreignPins(), popularity, env.now(), queue::isWanted).minOfOrNull { it.ratePerSecond }
--- a/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/target/Fakes.kt
+++ b/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/target/Fakes.kt
@@ -348,11 +348,12 @@
     val engine: FakeEngine = FakeEngine(),
     maxRunning: Int = 8,
     val cluster: FakeCluster = FakeCluster("e1"),
+    permits: LoadPermits = FreePermits,
 ) {
     val resource = targetResource("t1", "d1")
     val snapshots = FakeSnapshots(testSnapshot(mapOf("t1" to targetRecord("t1", engine, maxRunning))))
     val http = FakeHttp(mapOf("t1" to engine))
-    val owner = targetOwner(snapshots, TargetEnv(cluster, http, FreePermits, testSettings, 500, scope, clock))
+    val owner = targetOwner(snapshots, TargetEnv(cluster, http, permits, testSettings, 500, scope, clock))
 
     fun acquire(epoch: Long) {
         cluster.owners[resource.key] = Ownership.Held(epoch)
--- a/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/target/TargetOwnerSpec.kt
+++ b/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/target/TargetOwnerSpec.kt
@@ -14,6 +14,8 @@
 import io.skylarkstile.core.cluster.Ownership
 import io.skylarkstile.core.dispatch.DispatchEvent
 import io.skylarkstile.schema.generated.DispatchEnd.Outcome
+import io.skylarkstile.schema.generated.LoadAsk
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -95,6 +97,26 @@
             }
         }
 
+        // Guards against a second load of the adapter at another home while the store is busy.
+        test("a model whose load waits for a permit is announced as loading") {
+            scoped { scope ->
+                val permit = CompletableDeferred<LoadPermit>()
+                val permits =
+                    object : LoadPermits {
+                        override suspend fun acquireOrNull(ask: LoadAsk) = permit.await()
+                    }
+                val fixture = OwnerFixture(scope, permits = permits).also { it.acquire(7) }
+                coroutineScope {
+                    val waiting = async { fixture.run("a", "r1") }
+                    until("announcement") { fixture.owner.stateOrNull("t1")?.loading == listOf("a@1") }
+                    fixture.engine.loads() shouldBe emptyList()
+                    permit.complete(LoadPermit { })
+                    waiting.await().end.outcome shouldBe Outcome.Done
+                }
+                fixture.owner.stateOrNull("t1")?.loading shouldBe emptyList()
+            }
+        }
+
         test("an answer or a chunk that names another request is never passed on") {
             scoped { scope ->
                 val fixture = OwnerFixture(scope).also { it.acquire(7) }
