--- /dev/null
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/TargetOrders.kt
@@ -0,0 +1,29 @@
+/*
+ * How orders reach a target; an interface to a platform brings its own spelling.
+ */
+package io.skylarkstile.gateway.adapter
+
+import io.skylarkstile.gateway.model.TargetEntry
+
+/** Who gives an order, and after how many accepted ones; [expected] is null where that doesn't matter. */
+data class OrderStamp(
+    val holder: String,
+    val token: Long,
+    val expected: Long?,
+)
+
+/** Sends orders and asks for reports; outcomes are handed to `done` on the event loop. */
+interface TargetOrders {
+    fun order(
+        target: TargetEntry,
+        order: AdapterOrder,
+        stamp: OrderStamp,
+        done: (OrderOutcome) -> Unit,
+    )
+
+    /** Asks what [target] holds; null when it doesn't answer. */
+    fun report(
+        target: TargetEntry,
+        done: (TargetReport?) -> Unit,
+    )
+}
--- /dev/null
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/WorkspaceShare.kt
@@ -0,0 +1,123 @@
+/*
+ * Admission of one workspace's calls on one instance. The fleet-wide rate is split by what each instance is asked for, which instances
+ * tell each other; no call waits for an answer from a peer. An instance that hears nobody keeps its last share, so that the sum of the
+ * shares stays within the rate. Answers a load of one workspace that sends several times its rate.
+ */
+package io.skylarkstile.gateway.admission
+
+import io.skylarkstile.gateway.model.TokenRate
+import kotlin.math.exp
+import kotlin.math.max
+import kotlin.math.min
+
+/** Time constant of the demand estimate in milliseconds: long enough to smooth single calls, short enough to follow a burst. */
+private const val DEMAND_WINDOW_MS = 2_000.0
+
+/** Least part of the rate that is split evenly, so that an instance without recent demand can admit its first calls. */
+private const val EVEN_PART = 0.05
+
+/** Part of the tolerated excess that the shares' bursts use; the rest covers instances that restart with a fresh share. */
+private const val USED_TOLERANCE = 0.4
+
+/** The excess over a window that the deployment tolerates: [overage] of the rate and burst, and [slack] tokens. */
+data class QuotaTolerance(
+    val overage: Double,
+    val slack: Double,
+    val windowMs: Long,
+)
+
+/** Decides the admissions of one workspace. Not thread-safe. */
+class WorkspaceShare(
+    rate: TokenRate,
+    startedAt: Long,
+    instances: Int,
+    private val tolerance: QuotaTolerance,
+) {
+    var rate: TokenRate = rate
+        private set
+    private var part = 1.0 / max(1, instances)
+
+    /** Tokens that this share can save. Shares fill unevenly, so together they hold some of the tolerated excess on top of the burst. */
+    private val capacity: Double
+        get() {
+            val excess = tolerance.overage * (rate.perSecond * tolerance.windowMs / MS_PER_S + rate.burst) + tolerance.slack
+            return (rate.burst + USED_TOLERANCE * excess) * part
+        }
+    private var level = capacity
+    private var levelAt = startedAt
+    private var asked = 0.0
+    private var askedAt = startedAt
+
+    /** Applies a changed [rate]; tokens saved under a higher burst are lost. */
+    fun change(
+        now: Long,
+        rate: TokenRate,
+    ) {
+        refill(now)
+        this.rate = rate
+        level = min(level, capacity)
+    }
+
+    /** Takes [cost] tokens; returns false when this instance's share is used up. A call larger than the share's burst leaves a debt. */
+    fun admit(
+        now: Long,
+        cost: Int,
+    ): Boolean {
+        asked = demandWeight(now) + cost
+        askedAt = now
+        refill(now)
+        if (level < min(cost.toDouble(), capacity / 2)) return false
+        level -= cost
+        return true
+    }
+
+    /** Gives back [cost] tokens of a call that did not run. */
+    fun refund(
+        now: Long,
+        cost: Int,
+    ) {
+        refill(now)
+        level = min(level + cost, capacity)
+    }
+
+    /** Returns the time in milliseconds after which a call of [cost] tokens is likely to be admitted. */
+    fun waitMs(
+        now: Long,
+        cost: Int,
+    ): Long {
+        refill(now)
+        val missing = min(cost.toDouble(), capacity / 2) - level
+        return (max(0.0, missing) / max(1.0, rate.perSecond * part) * MS_PER_S).toLong()
+    }
+
+    /** Returns the tokens per second that callers ask of this instance. */
+    fun demand(now: Long): Double = demandWeight(now) / DEMAND_WINDOW_MS * MS_PER_S
+
+    /**
+     * Splits the rate by the demand of all instances; [others] holds what each of the others was last asked for. What nobody asks for is
+     * split evenly.
+     */
+    fun split(
+        now: Long,
+        others: List<Double>,
+    ) {
+        refill(now)
+        val instances = others.size + 1
+        val demand = demand(now)
+        val total = demand + others.sum()
+        val spare = max(rate.perSecond - total, rate.perSecond * EVEN_PART)
+        val before = part
+        part = (demand + spare / instances) / (total + spare)
+        if (part < before) level *= part / before
+        level = min(level, capacity)
+    }
+
+    private fun demandWeight(now: Long): Double = asked * exp((askedAt - now) / DEMAND_WINDOW_MS)
+
+    private fun refill(now: Long) {
+        level = min(capacity, level + (now - levelAt) / MS_PER_S * rate.perSecond * part)
+        levelAt = now
+    }
+}
+
+private const val MS_PER_S = 1_000.0
--- /dev/null
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/WorkspaceShares.kt
@@ -0,0 +1,43 @@
+/*
+ * The shares of all workspaces that have a rate.
+ */
+package io.skylarkstile.gateway.admission
+
+import io.skylarkstile.gateway.model.Configuration
+import io.skylarkstile.gateway.model.Workspace
+
+/** Holds a [WorkspaceShare] for each workspace with a rate. Not thread-safe. */
+class WorkspaceShares(
+    private val tolerance: QuotaTolerance,
+) {
+    private val shares = HashMap<String, WorkspaceShare>()
+
+    /** Applies the rates of [configuration]. */
+    fun configure(
+        now: Long,
+        configuration: Configuration,
+        instances: Int,
+    ) {
+        val rated = configuration.workspaces.filter { it.rate != null }.associateBy { it.name }
+        shares.keys.retainAll(rated.keys)
+        rated.values.forEach { workspace ->
+            val rate = checkNotNull(workspace.rate)
+            val share = shares.getOrPut(workspace.name) { WorkspaceShare(rate, now, instances, tolerance) }
+            if (share.rate != rate) share.change(now, rate)
+        }
+    }
+
+    /** Returns the share of [workspace], or null when it has no rate. */
+    fun shareOrNull(workspace: Workspace): WorkspaceShare? = shares[workspace.name]
+
+    /** Returns what callers ask of this instance in tokens per second, by workspace. */
+    fun demands(now: Long): Map<String, Double> = shares.mapValues { (_, share) -> share.demand(now) }
+
+    /** Splits all rates again; each entry of [others] holds the demands of one other instance. */
+    fun split(
+        now: Long,
+        others: List<Map<String, Double>>,
+    ) {
+        shares.forEach { (name, share) -> share.split(now, others.map { it[name] ?: 0.0 }) }
+    }
+}
--- /dev/null
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -0,0 +1,355 @@
+/*
+ * One instance: puts the parts together, follows the store, and ends gracefully.
+ */
+package io.skylarkstile.gateway.main
+
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
+import io.netty.channel.WriteBufferWaterMark
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpResponseEncoder
+import io.skylarkstile.core.placement.Popularity
+import io.skylarkstile.gateway.adapter.AdapterHolder
+import io.skylarkstile.gateway.adapter.AdapterPlacement
+import io.skylarkstile.gateway.adapter.FleetView
+import io.skylarkstile.gateway.adapter.TargetOrders
+import io.skylarkstile.gateway.admission.CallAdmission
+import io.skylarkstile.gateway.admission.Freshness
+import io.skylarkstile.gateway.admission.QuotaTolerance
+import io.skylarkstile.gateway.admission.SuspensionDetector
+import io.skylarkstile.gateway.admission.WorkspaceShares
+import io.skylarkstile.gateway.membership.InstanceRecord
+import io.skylarkstile.gateway.membership.Membership
+import io.skylarkstile.gateway.membership.OrderLease
+import io.skylarkstile.gateway.membership.textOf
+import io.skylarkstile.gateway.model.AdapterName
+import io.skylarkstile.gateway.model.AdapterVersion
+import io.skylarkstile.gateway.model.GatewaySettings
+import io.skylarkstile.gateway.peer.PeerExchange
+import io.skylarkstile.gateway.peer.PeerSocket
+import io.skylarkstile.gateway.relay.CallCodec
+import io.skylarkstile.gateway.relay.CallerConnection
+import io.skylarkstile.gateway.relay.Serving
+import io.skylarkstile.gateway.relay.StrictRequestDecoder
+import io.skylarkstile.gateway.relay.TargetPool
+import io.skylarkstile.gateway.store.KindListener
+import io.skylarkstile.gateway.store.KindWatch
+import io.skylarkstile.gateway.store.RecordDecoder
+import io.skylarkstile.gateway.store.SharedStore
+import io.skylarkstile.gateway.store.StoreKind
+import io.skylarkstile.gateway.store.StorePage
+import io.skylarkstile.gateway.store.StoredObject
+import io.skylarkstile.gateway.target.TargetChoice
+import io.skylarkstile.gateway.target.TargetState
+import io.skylarkstile.gateway.target.TargetTable
+import kotlin.random.Random
+
+private val log = KotlinLogging.logger {}
+
+/** Regular work is done this often, in milliseconds. */
+private const val TICK_MS = 50L
+private const val SLOW_TICKS = 5
+
+/** Longest wait of one watch, in milliseconds: a connection that went silent hides changes no longer than this and a call's time limit. */
+private const val WATCH_MS = 2_500L
+
+/** Changes of targets are read together within this part of the drain bound: each call to the store is priced. */
+private const val TARGET_PAUSE_SHARE = 0.4
+
+/** Keys are refused this long before the bound on withdrawn ones, in milliseconds. */
+private const val KEY_MARGIN_MS = 700L
+
+/** Bytes that may wait to be written to a slow caller before its target isn't read any more. */
+private const val WRITE_LOW_BYTES = 16 * 1024
+private const val WRITE_HIGH_BYTES = 64 * 1024
+private const val BACKLOG = 1_024
+
+/** What an instance needs from the interface to its platform. */
+class GatewayPorts(
+    val codec: CallCodec,
+    val records: RecordDecoder,
+    val store: SharedStore,
+    val orders: TargetOrders,
+)
+
+/** Runs one instance on [loop]; all functions but [stop] are called there. */
+class Gateway(
+    private val settings: GatewaySettings,
+    private val loop: EventLoop,
+    private val scheduler: Scheduler,
+    private val ports: GatewayPorts,
+    startedAt: Long,
+    random: Random,
+) {
+    private val self = InstanceRecord(settings.instance, settings.dataCentre, settings.callers, settings.peers, startedAt, 0)
+    private val targets = TargetTable()
+    private val shares =
+        WorkspaceShares(QuotaTolerance(settings.bounds.quotaOverage, settings.bounds.quotaSlack, settings.bounds.quotaWindowMs))
+    private val popularity = Popularity(POPULARITY_HALF_LIFE_MS)
+    private val keyFreshness = Freshness(settings.bounds.revokeMs - KEY_MARGIN_MS)
+    private val lease = OrderLease(settings.instance, settings.bounds.leaseMs)
+    private val pool = TargetPool(loop, scheduler, ports.codec)
+    private val choice = TargetChoice(settings.dataCentre, random::nextDouble)
+    private val socket = PeerSocket { exchange.receive(it) }
+    private val exchange: PeerExchange =
+        PeerExchange(self, scheduler, targets, shares, popularity, socket::send, { !isReady() }, { serving.adaptersChanged(it.id) })
+    private val serving: Serving =
+        Serving(
+            settings.bounds,
+            scheduler,
+            ports.codec,
+            pool,
+            targets,
+            choice,
+            AdapterPlacement(choice),
+            CallAdmission(shares, keyFreshness),
+            exchange,
+            random::nextDouble,
+        )
+    private val holder = AdapterHolder(settings.instance, lease, targets, ports.orders, Fleet(), popularity, scheduler, ::ownTargetChanged)
+    private val membership =
+        Membership(self, ports.store, scheduler, lease, { targets.all.map { it.id } }, exchange.board::heardAtOrNull, exchange::apply)
+    private val suspension = SuspensionDetector(scheduler.now(), System.currentTimeMillis())
+    private val callers = HashSet<CallerConnection>()
+    private var ticks = 0
+    private var listening: Channel? = null
+
+    private inner class Fleet : FleetView {
+        override fun isInUse(
+            target: TargetState,
+            adapter: AdapterVersion,
+        ): Boolean = adapter in target.adapterCalls || exchange.isInUseElsewhere(target, adapter)
+
+        override fun current(name: AdapterName): AdapterVersion = serving.current(name)
+
+        override fun adapterCapacity(service: String): Int = serving.configuration
+            ?.services
+            ?.get(service)
+            ?.engine
+            ?.adapterCapacity ?: 0
+    }
+
+    /** Opens all sockets and begins to follow the store. */
+    fun start() {
+        exchange.holder = holder
+        socket.bind(loop, settings.peers)
+        listening = listen()
+        follow(StoreKind.Configuration, ConfigurationListener(), 0)
+        follow(StoreKind.Targets, TargetListener(), (settings.bounds.drainMs * TARGET_PAUSE_SHARE).toLong())
+        follow(StoreKind.AdapterVersions, VersionListener(), 0)
+        follow(StoreKind.Instances, membership, 0)
+        scheduler.after(TICK_MS, ::tick)
+        log.info { "started ${settings.instance} in ${settings.dataCentre}, callers at ${textOf(settings.callers)}" }
+    }
+
+    /** Returns whether new callers are welcome. */
+    fun isReady(): Boolean = !serving.isLeaving && serving.configuration != null && keyFreshness.isFresh(scheduler.now())
+
+    /** Returns where callers may connect. */
+    fun callerAddresses(): List<String> {
+        val own = if (isReady()) listOf(settings.callers) else emptyList()
+        return (own + exchange.callerAddresses(scheduler.now())).map(::textOf)
+    }
+
+    /** Tells callers and peers that this instance leaves. Calls go on, new ones too, while callers move to other instances. */
+    fun leave() {
+        serving.isLeaving = true
+        exchange.tick()
+        exchange.changed()
+        log.info { "leaving, ${serving.runningCalls} calls run" }
+    }
+
+    /** Closes connections without a call; returns true once no call runs. */
+    fun closeIdle(): Boolean {
+        callers.toList().forEach { it.closeIfIdle() }
+        return serving.runningCalls == 0
+    }
+
+    /** Accepts no more connections. */
+    fun stopListening() {
+        listening?.close()
+        membership.stop()
+    }
+
+    /** Returns the state for a dump. */
+    fun dump(): String {
+        val now = scheduler.now()
+        val lines = targets.all.map { "${it.id} ${it.entry.service} calls=${it.ownCalls}+${it.peerCalls} adapters=${it.adapters}" }
+        return "instances ${membership.set.members.keys} keysAgeMs=${keyFreshness.ageOrNull(now)} waiting=${serving.waitingCalls}\n" +
+            lines.joinToString("\n")
+    }
+
+    private fun follow(
+        kind: StoreKind,
+        listener: KindListener,
+        pauseMs: Long,
+    ) = KindWatch(kind, ports.store, scheduler, listener, WATCH_MS, pauseMs).start()
+
+    private fun listen(): Channel = ServerBootstrap()
+        .group(loop)
+        .channel(NioServerSocketChannel::class.java)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WriteBufferWaterMark(WRITE_LOW_BYTES, WRITE_HIGH_BYTES))
+        .childHandler(
+            object : ChannelInitializer<Channel>() {
+                override fun initChannel(channel: Channel) {
+                    val connection = CallerConnection(serving)
+                    callers.add(connection)
+                    channel.closeFuture().addListener { callers.remove(connection) }
+                    val headerBytes = serving.configuration?.limits?.headerBytes ?: FIRST_HEADER_BYTES
+                    channel.pipeline().addLast(StrictRequestDecoder(headerBytes), HttpResponseEncoder(), connection)
+                }
+            },
+        ).bind(settings.callers)
+        .sync()
+        .channel()
+
+    private fun tick() {
+        val now = scheduler.now()
+        if (suspension.check(now, System.currentTimeMillis())) {
+            log.warn { "clocks moved apart: this process stood still or the time of day jumped" }
+            keyFreshness.forget()
+            lease.forget(now)
+        }
+        exchange.tick()
+        if (++ticks % SLOW_TICKS == 0) slowTick(now)
+        scheduler.after(TICK_MS, ::tick)
+    }
+
+    private fun slowTick(now: Long) {
+        if (targets.expire(now).isNotEmpty()) lease.refresh(targets.all.map { it.id })
+        serving.instances = exchange.instances()
+        shares.split(now, exchange.board.states().map { state -> state.demands.associate { it.workspace to it.tokensPerSecond } })
+        membership.tend()
+        holder.refresh()
+        pool.trim()
+    }
+
+    private fun ownTargetChanged(target: TargetState) {
+        serving.adaptersChanged(target.id)
+        exchange.changed()
+    }
+
+    private fun targetsChanged() {
+        lease.refresh(targets.all.map { it.id })
+        holder.refresh()
+    }
+
+    private inner class ConfigurationListener : KindListener {
+        override fun listed(
+            page: StorePage,
+            now: Long,
+            afterOutage: Boolean,
+        ) = page.objects.forEach { apply(it, now) }
+
+        override fun changed(
+            page: StorePage,
+            now: Long,
+            afterOutage: Boolean,
+        ) = page.objects.forEach { apply(it, now) }
+
+        override fun confirmed(at: Long) = keyFreshness.confirm(at)
+
+        private fun apply(
+            item: StoredObject,
+            now: Long,
+        ) {
+            if (item.spec == null) return
+            ports.records
+                .configuration(item)
+                .onFailure { log.error { "configuration of revision ${item.revision} can't be used: $it" } }
+                .onSuccess { configuration ->
+                    val before = serving.configuration
+                    if (before != null && configuration.revision <= before.revision) return
+                    serving.configuration = configuration
+                    shares.configure(now, configuration, exchange.instances())
+                    log.info { "configuration version=${configuration.version} revision=${configuration.revision} in force" }
+                }
+        }
+    }
+
+    private inner class TargetListener : KindListener {
+        override fun listed(
+            page: StorePage,
+            now: Long,
+            afterOutage: Boolean,
+        ) {
+            targets.replace(page.objects.mapNotNull(::entryOrNull), now, afterOutage)
+            targetsChanged()
+        }
+
+        override fun changed(
+            page: StorePage,
+            now: Long,
+            afterOutage: Boolean,
+        ) {
+            page.objects.forEach { item ->
+                val entry = entryOrNull(item)
+                if (entry == null) gone(item, now, afterOutage) else targets.put(entry)
+            }
+            targetsChanged()
+        }
+
+        override fun confirmed(at: Long) = Unit
+
+        private fun gone(
+            item: StoredObject,
+            now: Long,
+            afterOutage: Boolean,
+        ) {
+            log.info { "target ${item.name} is gone, revision=${item.revision} afterOutage=$afterOutage" }
+            targets[item.name]?.let { pool.forget(it.entry.address) }
+            targets.remove(item.name, now, afterOutage)
+        }
+
+        private fun entryOrNull(item: StoredObject) = item.spec?.let {
+            var entry: io.skylarkstile.gateway.model.TargetEntry? = null
+            ports.records
+                .target(item)
+                .onSuccess { entry = it }
+                .onFailure { reason -> log.warn { "entry of target ${item.name} can't be used: $reason" } }
+            entry
+        }
+    }
+
+    private inner class VersionListener : KindListener {
+        override fun listed(
+            page: StorePage,
+            now: Long,
+            afterOutage: Boolean,
+        ) = page.objects.forEach(::apply)
+
+        override fun changed(
+            page: StorePage,
+            now: Long,
+            afterOutage: Boolean,
+        ) = page.objects.forEach(::apply)
+
+        override fun confirmed(at: Long) = Unit
+
+        private fun apply(item: StoredObject) {
+            if (item.spec == null) return
+            ports.records
+                .version(item)
+                .onFailure { log.warn { "version record ${item.name} can't be used: $it" } }
+                .onSuccess { version ->
+                    if ((serving.versions[version.name] ?: 0) >= version.version) return
+                    serving.versions[version.name] = version.version
+                    log.info { "adapter $version announced, revision=${item.revision}" }
+                }
+        }
+    }
+
+    private companion object {
+        /** Popularity moves within seconds where demand shifts, and most adapters are asked for rarely. */
+        const val POPULARITY_HALF_LIFE_MS = 15_000.0
+        const val FIRST_HEADER_BYTES = 16_384
+    }
+}
--- /dev/null
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/InstanceSet.kt
@@ -0,0 +1,35 @@
+/*
+ * The set of instances, as their objects in the store show it, and which of them gives orders to a target. All instances that have seen
+ * the same state of the store compute the same holder.
+ */
+package io.skylarkstile.gateway.membership
+
+import io.skylarkstile.core.cluster.stableHash
+import java.net.InetSocketAddress
+
+/** One instance, as it describes itself in the store. Addresses are where callers and peers reach it. */
+data class InstanceRecord(
+    val name: String,
+    val dataCentre: String,
+    val callers: InetSocketAddress,
+    val peers: InetSocketAddress,
+    /** Start of the process in Unix milliseconds. */
+    val startedAt: Long,
+    /** Fingerprint of the set that this instance last gave orders under; 0 before. */
+    val settledOn: Long,
+)
+
+/** Holds the instances that the store shows. */
+data class InstanceSet(
+    val members: Map<String, InstanceRecord>,
+) {
+    /** Identifies the names of the set. */
+    val fingerprint: Long by lazy { stableHash(members.keys.sorted().joinToString("|")) }
+
+    /** Returns the instance that gives orders to [target]. */
+    fun holderOrNull(target: String): String? = members.keys.minWithOrNull(compareBy({ stableHash("$target|$it") }, { it }))
+
+    companion object {
+        val EMPTY = InstanceSet(emptyMap())
+    }
+}
--- /dev/null
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/Membership.kt
@@ -0,0 +1,213 @@
+/*
+ * This instance's place among the others: its own record in the store, the set that the records show, and the removal of instances that
+ * nobody hears any more.
+ */
+package io.skylarkstile.gateway.membership
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.skylarkstile.gateway.main.Scheduler
+import io.skylarkstile.gateway.store.KindListener
+import io.skylarkstile.gateway.store.SharedStore
+import io.skylarkstile.gateway.store.StoreKind
+import io.skylarkstile.gateway.store.StorePage
+import io.skylarkstile.gateway.store.StoreResult
+import io.skylarkstile.gateway.store.StoredObject
+import io.skylarkstile.schema.generated.GatewayInstance
+import io.skylarkstile.schema.recordJson
+import java.net.InetSocketAddress
+
+private val log = KotlinLogging.logger {}
+
+/** An instance that wasn't heard for this long is taken for lost, in milliseconds; a restart takes less. */
+private const val LOST_MS = 3_500L
+
+/** Each further instance, in order of names, waits this much longer before it removes a lost one, in milliseconds. */
+private const val TURN_MS = 700L
+
+/** Follows the set of instances for the one described by [self]. Not thread-safe. */
+class Membership(
+    private val self: InstanceRecord,
+    private val store: SharedStore,
+    private val scheduler: Scheduler,
+    private val lease: OrderLease,
+    private val targetIds: () -> Collection<String>,
+    private val heardAt: (String) -> Long?,
+    private val onChange: (InstanceSet) -> Unit,
+) : KindListener {
+    private class Known(
+        val record: InstanceRecord,
+        val revision: Long,
+        val seenAt: Long,
+    )
+
+    private val known = HashMap<String, Known>()
+    private var isListed = false
+    private var isWriting = false
+    private var isStopped = false
+    private var writeAt = 0L
+
+    /** The instances that the store shows. */
+    var set = InstanceSet.EMPTY
+        private set
+    private var revision = 0L
+
+    override fun listed(
+        page: StorePage,
+        now: Long,
+        afterOutage: Boolean,
+    ) {
+        val before = known.toMap()
+        known.clear()
+        page.objects.forEach { put(it, now, before[it.name]) }
+        apply(page.revision, resumes = !isListed && isResumed(), now = now)
+        isListed = true
+    }
+
+    override fun changed(
+        page: StorePage,
+        now: Long,
+        afterOutage: Boolean,
+    ) {
+        page.objects.forEach { if (it.spec == null) known.remove(it.name) else put(it, now, known[it.name]) }
+        apply(page.revision, resumes = false, now = now)
+    }
+
+    override fun confirmed(at: Long) = lease.confirm(at)
+
+    /** Writes the own record where it is missing or old, and removes lost instances. Called regularly. */
+    fun tend() {
+        val now = scheduler.now()
+        if (!isListed || isStopped || isWriting || now < writeAt) return
+        val own = known[self.name]
+        val settledOn = if (lease.isSettled(now)) set.fingerprint else own?.record?.settledOn ?: 0
+        when {
+            own == null -> write(self.copy(settledOn = 0), null, now)
+            own.record.startedAt != self.startedAt || own.record.settledOn != settledOn ->
+                write(
+                    self.copy(settledOn = settledOn),
+                    own.revision,
+                    now,
+                )
+            else -> removeLost(now)
+        }
+    }
+
+    /** Ends writing; the record stays for the next process of this machine, or until the others miss it. */
+    fun stop() {
+        isStopped = true
+    }
+
+    private fun isResumed(): Boolean = known[self.name]?.record?.settledOn == set(known).fingerprint
+
+    private fun apply(
+        revision: Long,
+        resumes: Boolean,
+        now: Long,
+    ) {
+        this.revision = revision
+        val changed = set(known)
+        if (changed.members.keys == set.members.keys && isListed) {
+            set = changed
+            return onChange(set)
+        }
+        log.info { "instances ${changed.members.keys.sorted()} revision=$revision resumes=$resumes" }
+        set = changed
+        lease.apply(set, targetIds(), revision, resumes, now)
+        onChange(set)
+    }
+
+    private fun set(known: Map<String, Known>) = InstanceSet(known.mapValues { it.value.record })
+
+    private fun put(
+        item: StoredObject,
+        now: Long,
+        before: Known?,
+    ) {
+        val record = item.spec?.let { recordOrNull(item.name, it) }
+        if (record == null) {
+            log.warn { "record of instance ${item.name} can't be read" }
+            return
+        }
+        known[item.name] = Known(record, item.revision, before?.seenAt ?: now)
+    }
+
+    private fun write(
+        record: InstanceRecord,
+        expected: Long?,
+        now: Long,
+    ) {
+        isWriting = true
+        val spec = recordJson.encodeToString(GatewayInstance.serializer(), stored(record))
+        val done = { result: StoreResult<StoredObject> ->
+            isWriting = false
+            writeAt = scheduler.now() + if (result is StoreResult.Success) 0 else WRITE_PAUSE_MS
+            when (result) {
+                is StoreResult.Success -> known[self.name] = Known(record, result.value.revision, now)
+                else -> log.warn { "own record not written: $result" }
+            }
+        }
+        if (expected ==
+            null
+        ) {
+            store.create(StoreKind.Instances, self.name, spec, done)
+        } else {
+            store.replace(StoreKind.Instances, self.name, spec, expected, done)
+        }
+    }
+
+    private fun removeLost(now: Long) {
+        val others = known.filterKeys { it != self.name }
+        val (lost, present) = others.entries.partition { (name, it) -> now - maxOf(heardAt(name) ?: Long.MIN_VALUE, it.seenAt) > LOST_MS }
+        // One that hears less than half of the others is more likely cut off itself.
+        if (lost.isEmpty() || present.size < others.size / 2) return
+        val turn = (present.map { it.key } + self.name).sorted().indexOf(self.name)
+        val due = lost.filter { (name, it) -> now - maxOf(heardAt(name) ?: Long.MIN_VALUE, it.seenAt) > LOST_MS + turn * TURN_MS }
+        val (name, gone) = due.firstOrNull() ?: return
+        isWriting = true
+        log.warn { "removing instance $name: not heard for ${now - maxOf(heardAt(name) ?: 0, gone.seenAt)} ms" }
+        store.remove(StoreKind.Instances, name, gone.revision) { result ->
+            isWriting = false
+            writeAt = scheduler.now() + WRITE_PAUSE_MS
+            if (result !is StoreResult.Success) log.warn { "instance $name not removed: $result" }
+        }
+    }
+
+    private fun stored(record: InstanceRecord) = GatewayInstance(
+        dataCentre = record.dataCentre,
+        callers = textOf(record.callers),
+        peers = textOf(record.peers),
+        startedAt = record.startedAt,
+        settledOn = record.settledOn,
+    )
+
+    private fun recordOrNull(
+        name: String,
+        spec: String,
+    ): InstanceRecord? = try {
+        val stored = recordJson.decodeFromString(GatewayInstance.serializer(), spec)
+        InstanceRecord(name, stored.dataCentre, addressOf(stored.callers), addressOf(stored.peers), stored.startedAt, stored.settledOn)
+    } catch (e: IllegalArgumentException) {
+        log.debug { "record $name: ${e.message}" }
+        null
+    }
+
+    private companion object {
+        const val WRITE_PAUSE_MS = 300L
+    }
+}
+
+/** Returns [address] as `ip:port`. */
+fun textOf(address: InetSocketAddress): String = "${address.address.hostAddress}:${address.port}"
+
+/** Reads `ip:port`; throws [IllegalArgumentException] for anything else, so that no name is looked up. */
+fun addressOf(text: String): InetSocketAddress {
+    val colon = text.lastIndexOf(':')
+    val parts = text.take(maxOf(colon, 0)).split('.').map { it.toIntOrNull() ?: -1 }
+    val port = text.substring(colon + 1).toIntOrNull() ?: -1
+    require(parts.size == IPV4_PARTS && parts.all { it in 0..MAX_BYTE } && port in 1..MAX_PORT) { "not an address: $text" }
+    return InetSocketAddress(java.net.InetAddress.getByAddress(ByteArray(IPV4_PARTS) { parts[it].toByte() }), port)
+}
+
+private const val IPV4_PARTS = 4
+private const val MAX_BYTE = 255
+private const val MAX_PORT = 65_535
--- /dev/null
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/OrderLease.kt
@@ -0,0 +1,92 @@
+/*
+ * When this instance may give orders to a target. It is the holder while the store, asked lately enough, shows a set of instances in
+ * which it is the one; a new holder waits until every confirmation that an older one may have has run out, plus the time within which
+ * two holders must not take turns. No clocks are compared, and nothing is written to keep a lease.
+ */
+package io.skylarkstile.gateway.membership
+
+import io.skylarkstile.gateway.admission.Freshness
+
+/** A confirmation of the set of instances permits orders for this long, in milliseconds. */
+const val CONFIRMATION_MS = 4_000L
+
+/** Added to each wait for timers that fire late, in milliseconds. */
+private const val MARGIN_MS = 300L
+
+/** Decides about orders for the instance [name]; [leaseMs] is the least time between orders of two holders. Not thread-safe. */
+class OrderLease(
+    private val name: String,
+    private val leaseMs: Long,
+) {
+    private class Holding(
+        val since: Long,
+        val token: Long,
+    )
+
+    private val freshness = Freshness(CONFIRMATION_MS)
+    private val waitMs = CONFIRMATION_MS + leaseMs + MARGIN_MS
+    private val holdings = HashMap<String, Holding>()
+    private var set = InstanceSet.EMPTY
+    private var changedAt = 0L
+    private var changedRevision = 0L
+
+    /**
+     * Notes that the store showed the known set at time [at]. After a gap in which another instance could have joined, held orders and
+     * left unseen, all waits start anew.
+     */
+    fun confirm(at: Long) {
+        val age = freshness.ageOrNull(at)
+        if (age != null && age > CONFIRMATION_MS + leaseMs) restart(at)
+        freshness.confirm(at)
+    }
+
+    /** Forgets the confirmations, because this process stood still for an unknown time. */
+    fun forget(now: Long) {
+        freshness.forget()
+        restart(now)
+    }
+
+    /**
+     * Applies the [set] that the store showed at [revision]. With [resumes] nobody else can have held what this instance holds now: its
+     * own record outlived its last process, and the set is the one that process gave orders under.
+     */
+    fun apply(
+        set: InstanceSet,
+        targets: Collection<String>,
+        revision: Long,
+        resumes: Boolean,
+        now: Long,
+    ) {
+        this.set = set
+        changedAt = if (resumes) now - waitMs else now
+        changedRevision = revision
+        refresh(targets)
+    }
+
+    /** Looks at [targets] again after targets came or went. Under an unchanged set a new target never had another holder. */
+    fun refresh(targets: Collection<String>) {
+        val held = targets.filterTo(HashSet()) { set.holderOrNull(it) == name }
+        holdings.keys.retainAll(held)
+        held.forEach { target -> holdings.getOrPut(target) { Holding(changedAt, changedRevision) } }
+    }
+
+    /** Returns the fencing token for orders to [target], or null when this instance must not order it now. */
+    fun tokenOrNull(
+        target: String,
+        now: Long,
+    ): Long? {
+        val holding = holdings[target] ?: return null
+        return holding.token.takeIf { freshness.isFresh(now) && now >= holding.since + waitMs }
+    }
+
+    /** Returns whether this instance is or becomes the holder of [target]. */
+    fun isHolder(target: String): Boolean = target in holdings
+
+    /** Returns whether all waits of the present set are over, so that it may be recorded as the settled one. */
+    fun isSettled(now: Long): Boolean = freshness.isFresh(now) && name in set.members && now >= changedAt + waitMs
+
+    private fun restart(now: Long) {
+        changedAt = now
+        holdings.replaceAll { _, holding -> Holding(now, holding.token) }
+    }
+}
--- /dev/null
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/Configuration.kt
@@ -0,0 +1,108 @@
+/*
+ * The configuration in force: routes, services with their engines, workspaces with keys and rates, and limits on callers.
+ */
+package io.skylarkstile.gateway.model
+
+/** Holds one whole configuration. [revision] is the store's, [version] the operator's. */
+data class Configuration(
+    val revision: Long,
+    val version: Long,
+    val routes: List<Route>,
+    val services: Map<String, Service>,
+    val workspaces: List<Workspace>,
+    val limits: CallerLimits,
+) {
+    private val byHost: Map<String, Map<String, Route>> =
+        routes.groupBy { it.host }.mapValues { (_, routes) -> routes.associateBy { it.pathPrefix } }
+    private val byKey: Map<String, Workspace> = workspaces.flatMap { w -> w.keys.map { it to w } }.toMap()
+
+    /** Returns the route of [host] with the longest prefix of [path]. Prefixes begin and end with a slash. */
+    fun routeOrNull(
+        host: String,
+        path: String,
+    ): Route? {
+        val prefixes = byHost[host] ?: return null
+        var end = path.lastIndexOf('/')
+        while (end >= 0) {
+            prefixes[path.substring(0, end + 1)]?.let { return it }
+            end = if (end == 0) -1 else path.lastIndexOf('/', end - 1)
+        }
+        return null
+    }
+
+    /** Returns the workspace that holds [key]. */
+    fun workspaceOrNull(key: String): Workspace? = byKey[key]
+}
+
+/** Tells how often a call may run. */
+enum class Repeatability { Safe, Once, ResumableStream, OnceStream }
+
+/** Describes one route. Times are in milliseconds; [priority] 0 is the most urgent. */
+data class Route(
+    val name: String,
+    val host: String,
+    val pathPrefix: String,
+    val repeatability: Repeatability,
+    val timeoutMs: Long,
+    val targetLatencyMs: Long,
+    val priority: Int,
+    val services: List<WeightedService>,
+    val maxAttempts: Int,
+    val isPublic: Boolean,
+) {
+    val isStream: Boolean get() = repeatability == Repeatability.ResumableStream || repeatability == Repeatability.OnceStream
+    val isRepeatable: Boolean get() = repeatability == Repeatability.Safe || repeatability == Repeatability.ResumableStream
+}
+
+/** One of the services that share a route's requests in proportion to their weights. */
+data class WeightedService(
+    val service: String,
+    val weight: Int,
+)
+
+/** Describes a service; [engine] is set where its targets run models. */
+data class Service(
+    val name: String,
+    val maxConnections: Int,
+    val engine: Engine?,
+)
+
+/** Describes the engine of a service's targets. */
+data class Engine(
+    val slots: Int,
+    val adapterCapacity: Int,
+    val weightsMb: Double,
+    val loadsPerSecond: Double,
+    val models: List<BaseModel>,
+)
+
+/** Describes a base model; sizes are in megabytes. */
+data class BaseModel(
+    val name: String,
+    val weightsMb: Double,
+    val adapterMb: Double,
+    val loadMs: Long,
+)
+
+/** Describes a workspace. Its [priority] precedes the route's. */
+data class Workspace(
+    val name: String,
+    val keys: List<String>,
+    val priority: Int?,
+    val rate: TokenRate?,
+)
+
+/** A rate over all instances together. A call without token counts costs [plainTokens]. */
+data class TokenRate(
+    val perSecond: Double,
+    val burst: Double,
+    val plainTokens: Int,
+)
+
+/** Bounds on what callers send, in bytes and milliseconds. */
+data class CallerLimits(
+    val headerBytes: Int,
+    val bodyBytes: Int,
+    val headerTimeoutMs: Long,
+    val idleTimeoutMs: Long,
+)
--- /dev/null
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
@@ -0,0 +1,198 @@
+/*
+ * What this instance tells the others and hears from them: running calls, demand, adapters asked for, and the adapters of held targets.
+ */
+package io.skylarkstile.gateway.peer
+
+import io.skylarkstile.core.placement.Popularity
+import io.skylarkstile.gateway.adapter.AdapterHolder
+import io.skylarkstile.gateway.admission.WorkspaceShares
+import io.skylarkstile.gateway.main.Scheduler
+import io.skylarkstile.gateway.membership.InstanceRecord
+import io.skylarkstile.gateway.membership.InstanceSet
+import io.skylarkstile.gateway.model.AdapterVersion
+import io.skylarkstile.gateway.relay.AdapterDemand
+import io.skylarkstile.gateway.target.AdapterPhase
+import io.skylarkstile.gateway.target.TargetState
+import io.skylarkstile.gateway.target.TargetTable
+import io.skylarkstile.schema.generated.AdapterWish
+import io.skylarkstile.schema.generated.GatewayDatagram
+import io.skylarkstile.schema.generated.GatewayState
+import io.skylarkstile.schema.generated.HeldTarget
+import io.skylarkstile.schema.generated.LoadingAdapter
+import io.skylarkstile.schema.generated.TargetCalls
+import io.skylarkstile.schema.generated.WorkspaceDemand
+import java.net.InetSocketAddress
+
+/** States are repeated at least this often, in milliseconds, and less often in a large fleet. */
+private const val STATE_MS = 250L
+private const val STATE_MS_PER_INSTANCE = 8L
+
+/** Changes within this time are told together, in milliseconds. */
+private const val GATHER_MS = 4L
+private const val GATHER_MS_PER_INSTANCE = 1L
+
+/** Adapters that a peer said it holds can be ordered there for this long without news, in milliseconds. */
+private const val HELD_MS = 1_500L
+
+/** A peer heard within this time is present, in milliseconds. */
+const val PRESENT_MS = 1_200L
+
+/** Exchanges states as the instance [self]. Not thread-safe. */
+class PeerExchange(
+    private val self: InstanceRecord,
+    private val scheduler: Scheduler,
+    private val targets: TargetTable,
+    private val shares: WorkspaceShares,
+    private val popularity: Popularity,
+    private val send: (GatewayDatagram, Collection<InetSocketAddress>) -> Unit,
+    private val isLeaving: () -> Boolean,
+    private val onAdapters: (TargetState) -> Unit,
+) : AdapterDemand {
+    val board = PeerBoard()
+    private val asked = ArrayList<String>()
+    private val holderOf = HashMap<String, String>()
+    private var members = InstanceSet.EMPTY
+    private var number = 0L
+    private var sentAt = 0L
+    private var isGathering = false
+
+    /** Orders of this instance; set once at the start. */
+    lateinit var holder: AdapterHolder
+    private val others: List<InstanceRecord> get() = members.members.values.filter { it.name != self.name }
+    private val stateMs: Long get() = maxOf(STATE_MS, STATE_MS_PER_INSTANCE * members.members.size)
+
+    /** Applies the set of instances. */
+    fun apply(set: InstanceSet) {
+        members = set
+        board.retain(set.members.keys)
+        recount()
+    }
+
+    /** Tells the others what has changed, soon. */
+    fun changed() {
+        if (isGathering) return
+        isGathering = true
+        scheduler.after(GATHER_MS + GATHER_MS_PER_INSTANCE * members.members.size) {
+            isGathering = false
+            tell()
+        }
+    }
+
+    /** Repeats the state when it is due. Called regularly. */
+    fun tick() {
+        if (scheduler.now() - sentAt >= stateMs) tell()
+    }
+
+    /** Takes a datagram. */
+    fun receive(datagram: GatewayDatagram) {
+        val now = scheduler.now()
+        datagram.wish?.let { wish -> AdapterVersion.parseOrNull(wish.adapter)?.let { holder.wish(wish.target, it) } }
+        val state = datagram.state ?: return
+        if (datagram.sender == self.name || datagram.sender !in members.members) return
+        if (!board.hear(datagram.sender, state, now)) return
+        state.asked.forEach { popularity.record(it, now) }
+        state.held.forEach { applyHeld(it, datagram.sender, now) }
+        recount()
+    }
+
+    override fun wish(
+        target: TargetState,
+        adapter: AdapterVersion,
+    ) {
+        if (holder.wish(target.id, adapter)) return
+        val record = holderOf[target.id]?.let(members.members::get) ?: return
+        send(GatewayDatagram(sender = self.name, wish = AdapterWish(target.id, "$adapter")), listOf(record.peers))
+    }
+
+    override fun asked(adapter: AdapterVersion) {
+        popularity.record("$adapter", scheduler.now())
+        asked.add("$adapter")
+    }
+
+    /** Returns whether another instance has calls that use [adapter] on [target]. */
+    fun isInUseElsewhere(
+        target: TargetState,
+        adapter: AdapterVersion,
+    ): Boolean {
+        val text = "$adapter"
+        return board.states().any { state -> state.calls.any { it.target == target.id && text in it.adapters } }
+    }
+
+    /** Returns where callers may connect: the present instances that want new callers. */
+    fun callerAddresses(now: Long): List<InetSocketAddress> = board
+        .recent(now, PRESENT_MS)
+        .filterValues { !it.isLeaving }
+        .keys
+        .mapNotNull { members.members[it]?.callers }
+
+    /** Returns the number of instances that share the bounds, this one included. */
+    fun instances(): Int = maxOf(1, members.members.size)
+
+    private fun applyHeld(
+        held: HeldTarget,
+        sender: String,
+        now: Long,
+    ) {
+        val target = targets[held.target] ?: return
+        holderOf[held.target] = sender
+        target.orderableUntil = now + HELD_MS
+        val present = held.present.mapNotNull(AdapterVersion::parseOrNull).associateWith { AdapterPhase.Present }
+        val loading =
+            held.loading.mapNotNull { item ->
+                AdapterVersion.parseOrNull(item.adapter)?.let {
+                    it to
+                        AdapterPhase.Loading(now + item.readyInMs)
+                }
+            }
+        val before = target.adapters
+        target.adapters = present + loading
+        if (before != target.adapters) onAdapters(target)
+    }
+
+    private fun recount() {
+        val counts = HashMap<String, Int>()
+        board.states().forEach { state -> state.calls.forEach { counts.merge(it.target, it.calls, Int::plus) } }
+        targets.all.forEach { it.peerCalls = counts[it.id] ?: 0 }
+    }
+
+    private fun tell() {
+        val now = scheduler.now()
+        sentAt = now
+        val state =
+            GatewayState(
+                startedAt = self.startedAt,
+                number = ++number,
+                isLeaving = isLeaving(),
+                calls =
+                    targets.all.filter { it.ownCalls > 0 }.map {
+                        TargetCalls(
+                            it.id,
+                            it.ownCalls,
+                            it.adapterCalls.keys.map { a ->
+                                "$a"
+                            },
+                        )
+                    },
+                demands = shares.demands(now).map { (name, demand) -> WorkspaceDemand(name, demand) },
+                asked = asked.toList(),
+                held = holder.orderable(now).map { held(it, now) },
+            )
+        asked.clear()
+        send(GatewayDatagram(sender = self.name, state = state), others.map { it.peers })
+    }
+
+    private fun held(
+        target: TargetState,
+        now: Long,
+    ): HeldTarget {
+        val (present, loading) = target.adapters.entries.partition { it.value == AdapterPhase.Present }
+        return HeldTarget(
+            target = target.id,
+            present = present.map { "${it.key}" },
+            loading =
+                loading.map { (adapter, phase) ->
+                    LoadingAdapter("$adapter", maxOf(0, (phase as AdapterPhase.Loading).readyAt - now))
+                },
+        )
+    }
+}
--- /dev/null
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -0,0 +1,470 @@
+/*
+ * One call from its admission to its end: choosing a target, waiting for an adapter, sending, passing the answer on, and trying another
+ * target where the call may run again or has not run.
+ */
+package io.skylarkstile.gateway.relay
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponse
+import io.skylarkstile.gateway.adapter.Placement
+import io.skylarkstile.gateway.admission.Admission
+import io.skylarkstile.gateway.http.passedOn
+import io.skylarkstile.gateway.main.Timer
+import io.skylarkstile.gateway.model.AdapterVersion
+import io.skylarkstile.gateway.model.AnswerHead
+import io.skylarkstile.gateway.model.CallHead
+import io.skylarkstile.gateway.model.Dispatch
+import io.skylarkstile.gateway.model.Repeatability
+import io.skylarkstile.gateway.target.TargetState
+import kotlin.math.max
+import kotlin.math.min
+
+private val log = KotlinLogging.logger {}
+
+/** A call that can't be sent with at least this much time left is refused, in milliseconds. */
+private const val LEAST_TIME_MS = 10L
+
+/** Own answers are sent this long before the deadline, so that they arrive before the caller has left, in milliseconds. */
+private const val ANSWER_MARGIN_MS = 15L
+
+/** Answers up to this size are read whole before they are passed on, so that one that breaks off can be asked for again, in bytes. */
+private const val WHOLE_ANSWER_BYTES = 65_536
+
+/** A call goes to at most this many targets, also where none of them ran it. */
+private const val MOST_ARRIVALS = 4
+
+/** Calls that wait for an adapter repeat their wish, since a message may be lost, in milliseconds. */
+private const val REPEAT_WISH_MS = 100L
+
+/** Callers return after this time when all targets are full or gone, in milliseconds. */
+private const val FULL_RETRY_MS = 300L
+
+/** A repeatable call tries another target after this multiple of its target latency without an answer. */
+private const val SILENCE_LATENCIES = 2.0
+
+/** Runs one call; all functions are called on the event loop. */
+internal class CallRun(
+    private val serving: Serving,
+    private val caller: Caller,
+    private val call: CallHead,
+    private val body: ByteBuf,
+    private val admitted: Admission.Admitted,
+    private val service: String,
+    private val arrivedAt: Long,
+) : AnswerListener {
+    private enum class Mode { Undecided, Gather, PassOn, Discard }
+
+    private val route = admitted.route
+    private val deadlineAt = arrivedAt + min(call.waitMs ?: Long.MAX_VALUE, route.timeoutMs)
+    private val tried = LinkedHashSet<String>()
+    private val events = if (route.repeatability == Repeatability.ResumableStream) EventSplitter() else null
+    private var arrivals = 0
+    private var runs = 0
+    private var mode = Mode.Undecided
+    private var isBegun = false
+    private var begunAt: Long? = null
+    private var sentAt: Long? = null
+    private var isEnded = false
+    private var mayHaveRun = false
+    private var attempt: Attempt? = null
+    private var gathered: ByteBuf? = null
+    private var gatheredHead: HttpResponse? = null
+    private var waitTimer: Timer? = null
+    private var silenceTimer: Timer? = null
+    private val deadlineTimer = serving.scheduler.after(max(0, deadlineAt - ANSWER_MARGIN_MS - arrivedAt)) { expire() }
+
+    /** Id of the target on which this call waits for an adapter. */
+    var awaitsTarget: String? = null
+        private set
+
+    private class Attempt(
+        val target: TargetState,
+        val adapter: AdapterVersion?,
+        val sentAt: Long,
+    ) {
+        var connection: TargetConnection? = null
+        var isOver = false
+        var head: AnswerHead? = null
+    }
+
+    /** Begins the call. */
+    fun start() {
+        serving.runningCalls++
+        serving.allowance(service).request(serving.scheduler.now())
+        call.adapter?.let { serving.demand.asked(serving.current(it)) }
+        choose()
+    }
+
+    /** Looks for a target again because adapters have changed. */
+    fun lookAgain() {
+        if (awaitsTarget != null && !isEnded) choose()
+    }
+
+    /** Ends the call because its caller has left. */
+    fun callerLeft() {
+        if (isEnded) return
+        finish("caller-left")
+        endAttempt()
+    }
+
+    /** Continues reading the answer once the caller has taken what was passed on. */
+    fun callerWritable(isWritable: Boolean) {
+        if (mode == Mode.PassOn) attempt?.connection?.setReading(isWritable)
+    }
+
+    private fun choose() {
+        stopWaiting()
+        val now = serving.scheduler.now()
+        if (deadlineAt - now < LEAST_TIME_MS) return expire()
+        val limit = serving.connectionLimit(service)
+        val candidates = serving.targets.ready(service).filter { serving.pool.hasRoom(it.entry.address, limit) }
+        val adapter = call.adapter?.let(serving::current)
+        if (adapter == null) {
+            val target = serving.choice.chooseOrNull(now, candidates, tried) ?: return giveUp("no-target-free", FULL_RETRY_MS)
+            return send(target, null)
+        }
+        when (val placement = serving.placement.place(now, adapter, candidates, tried)) {
+            is Placement.Run -> {
+                serving.placement.copyOrNull(now, adapter, candidates)?.let { serving.demand.wish(it, adapter) }
+                send(placement.target, adapter)
+            }
+
+            is Placement.Await -> {
+                await(placement.target, adapter)
+            }
+
+            Placement.None -> {
+                giveUp("no-target-free", FULL_RETRY_MS)
+            }
+        }
+    }
+
+    private fun await(
+        target: TargetState,
+        adapter: AdapterVersion,
+    ) {
+        awaitsTarget = target.id
+        serving.await(this)
+        waitTimer = serving.scheduler.after(REPEAT_WISH_MS) { lookAgain() }
+        serving.demand.wish(target, adapter)
+    }
+
+    private fun stopWaiting() {
+        if (awaitsTarget == null) return
+        awaitsTarget = null
+        waitTimer?.cancel()
+        serving.stopAwaiting(this)
+    }
+
+    private fun send(
+        target: TargetState,
+        adapter: AdapterVersion?,
+    ) {
+        val now = serving.scheduler.now()
+        if (arrivals > 0 && (arrivals >= MOST_ARRIVALS || !serving.allowance(service).tryRepeat(now, serving.instances))) {
+            return giveUp("retry-allowance-used", FULL_RETRY_MS)
+        }
+        val started = Attempt(target, adapter, now)
+        attempt = started
+        target.begin(adapter)
+        serving.pool.acquire(target.entry.address) { connection -> connected(started, connection) }
+    }
+
+    private fun connected(
+        started: Attempt,
+        connection: TargetConnection?,
+    ) {
+        val now = serving.scheduler.now()
+        if (started.isOver) {
+            connection?.abandon()
+            return
+        }
+        if (connection == null) {
+            started.target.health.unreachable(now)
+            return retry(started)
+        }
+        val remaining = deadlineAt - now
+        if (remaining < LEAST_TIME_MS) {
+            connection.onFree(null)
+            return expire()
+        }
+        sentAt = now
+        started.connection = connection
+        arrivals++
+        runs++
+        mayHaveRun = true
+        mode = Mode.Undecided
+        val hasEngine =
+            serving.configuration
+                ?.services
+                ?.get(service)
+                ?.engine != null
+        val dispatch =
+            Dispatch(
+                targetId = started.target.id,
+                workspace = admitted.workspace?.name,
+                remainingMs = remaining,
+                priority = (admitted.workspace?.priority ?: route.priority).takeIf { hasEngine },
+                adapterVersion = started.adapter?.version?.takeIf { call.adapter in serving.versions },
+                lastEventId = events?.lastId ?: call.lastEventId,
+            )
+        connection.send(call.id, call.method, call.uri, serving.codec.targetHeaders(call, dispatch), body.retainedDuplicate(), this)
+        watchSilence(started)
+    }
+
+    /** A repeatable call doesn't wait for a silent target until its deadline. */
+    private fun watchSilence(started: Attempt) {
+        if (!route.isRepeatable || runs >= route.maxAttempts) return
+        val patience = max(MIN_SILENCE_MS, (route.targetLatencyMs * SILENCE_LATENCIES).toLong())
+        if (serving.scheduler.now() + patience * 2 > deadlineAt) return
+        silenceTimer =
+            serving.scheduler.after(patience) {
+                if (attempt === started && !started.isOver && started.head == null) {
+                    started.target.health.failed(serving.scheduler.now())
+                    failed(started, "silent for $patience ms")
+                }
+            }
+    }
+
+    override fun head(
+        head: AnswerHead,
+        response: HttpResponse,
+    ) {
+        val running = attempt ?: return
+        silenceTimer?.cancel()
+        running.head = head
+        val isSuccess = head.status in 200..299
+        mode =
+            when {
+                head.isNotRun || isUnusable(head) -> Mode.Discard
+                isBegun && !isSuccess -> Mode.Discard
+                isBegun -> Mode.PassOn
+                route.isStream && isSuccess -> Mode.PassOn
+                else -> Mode.Gather
+            }
+        gatheredHead = response
+        if (mode == Mode.Gather) gathered = Unpooled.buffer()
+        if (mode == Mode.PassOn && !isBegun) begin(response)
+    }
+
+    /** A success without a signature, or with an encoding, isn't a target's answer. */
+    private fun isUnusable(head: AnswerHead): Boolean = head.isEncoded || (head.status in 200..299 && !head.isSigned)
+
+    private fun begin(response: HttpResponse) {
+        isBegun = true
+        begunAt = serving.scheduler.now()
+        // A stream that may be continued at another target has no length of its own.
+        val length =
+            response
+                .headers()
+                .get(HttpHeaderNames.CONTENT_LENGTH)
+                ?.toLongOrNull()
+                ?.takeIf { events == null }
+        caller.begin(response.status().code(), response.status().reasonPhrase(), answerHeaders(response), length)
+    }
+
+    private fun answerHeaders(response: HttpResponse): HttpHeaders = passedOn(response.headers(), setOf("content-length"))
+
+    override fun content(data: ByteBuf) {
+        when (mode) {
+            Mode.Gather -> gather(data)
+            Mode.PassOn -> passOn(data)
+            Mode.Discard, Mode.Undecided -> Unit
+        }
+    }
+
+    private fun gather(data: ByteBuf) {
+        val whole = gathered ?: return
+        whole.writeBytes(data)
+        if (whole.readableBytes() <= WHOLE_ANSWER_BYTES) return
+        mode = Mode.PassOn
+        gatheredHead?.let(::begin)
+        caller.part(whole)
+        gathered = null
+    }
+
+    private fun passOn(data: ByteBuf) {
+        if (events == null) {
+            caller.part(data)
+        } else {
+            val whole = events.add(ByteBufUtil.getBytes(data))
+            if (whole.isNotEmpty()) caller.part(Unpooled.wrappedBuffer(whole))
+        }
+        if (!caller.isWritable) attempt?.connection?.setReading(false)
+    }
+
+    override fun flush() {
+        if (mode == Mode.PassOn) caller.flush()
+    }
+
+    override fun complete() {
+        val running = attempt ?: return
+        val head = running.head ?: return
+        val now = serving.scheduler.now()
+        when {
+            head.isNotRun -> notRun(running, head)
+            mode == Mode.Discard -> failed(running, "answer without signature")
+            mode == Mode.PassOn -> ended(running, now)
+            head.status >= SERVER_ERROR && route.isRepeatable && mayRepeat() -> failed(running, "status ${head.status}")
+            else -> answerWhole(running, head, now)
+        }
+    }
+
+    private fun ended(
+        running: Attempt,
+        now: Long,
+    ) {
+        running.target.health.answered(now)
+        release(running)
+        if (events != null && events.heldBytes > 0) return breakOff("incomplete-event")
+        caller.end()
+        finish("served")
+    }
+
+    private fun answerWhole(
+        running: Attempt,
+        head: AnswerHead,
+        now: Long,
+    ) {
+        if (head.status >= SERVER_ERROR) running.target.health.failed(now) else running.target.health.answered(now)
+        release(running)
+        val response = gatheredHead ?: return
+        val whole = gathered ?: Unpooled.EMPTY_BUFFER
+        val length =
+            if (call.method ==
+                HttpMethod.HEAD
+            ) {
+                response.headers().get(HttpHeaderNames.CONTENT_LENGTH)?.toLongOrNull()
+            } else {
+                whole.readableBytes().toLong()
+            }
+        caller.begin(head.status, response.status().reasonPhrase(), answerHeaders(response), length)
+        if (whole.isReadable) caller.part(whole)
+        caller.end()
+        finish("status-${head.status}")
+    }
+
+    private fun notRun(
+        running: Attempt,
+        head: AnswerHead,
+    ) {
+        running.target.health.answered(serving.scheduler.now())
+        runs--
+        mayHaveRun = runs > 0
+        if (head.status == MISDIRECTED && running.adapter != null) running.target.adapters -= running.adapter
+        log.debug { "call ${call.id} not run by ${running.target.id}: ${head.status}" }
+        retry(running)
+    }
+
+    override fun broken(reason: String) {
+        val running = attempt ?: return
+        if (running.head ==
+            null
+        ) {
+            running.target.health.unreachable(serving.scheduler.now())
+        } else {
+            running.target.health.failed(serving.scheduler.now())
+        }
+        failed(running, reason)
+    }
+
+    /** The call may have run on the target of [running], and its answer isn't whole. */
+    private fun failed(
+        running: Attempt,
+        reason: String,
+    ) {
+        log.info { "call ${call.id} failed at ${running.target.id}: $reason" }
+        if (route.isRepeatable && mayRepeat()) return retry(running)
+        endAttempt()
+        if (isBegun) breakOff(reason) else refuse(BAD_GATEWAY, "target-failed", null)
+    }
+
+    private fun mayRepeat(): Boolean =
+        runs < route.maxAttempts && serving.allowance(service).left(serving.scheduler.now(), serving.instances) >= 1
+
+    private fun retry(running: Attempt) {
+        tried.add(running.target.id)
+        endAttempt()
+        events?.dropPart()
+        gathered = null
+        mode = Mode.Undecided
+        choose()
+    }
+
+    /** Ends the present attempt; a connection whose answer isn't whole is closed. */
+    private fun endAttempt() {
+        silenceTimer?.cancel()
+        val running = attempt ?: return
+        if (running.isOver) return
+        release(running)
+        running.connection?.takeIf { !it.isUsable }?.abandon()
+    }
+
+    private fun release(running: Attempt) {
+        running.isOver = true
+        running.target.end(running.adapter)
+        running.connection?.setReading(true)
+    }
+
+    private fun expire() {
+        if (isEnded) return
+        giveUp("deadline", FULL_RETRY_MS)
+    }
+
+    private fun giveUp(
+        reason: String,
+        retryAfterMs: Long,
+    ) {
+        endAttempt()
+        when {
+            isBegun -> breakOff(reason)
+            mayHaveRun -> refuse(GATEWAY_TIMEOUT, reason, null)
+            else -> refuse(UNAVAILABLE, reason, retryAfterMs)
+        }
+    }
+
+    private fun refuse(
+        status: Int,
+        reason: String,
+        retryAfterMs: Long?,
+    ) {
+        if (!mayHaveRun) serving.admission.refund(serving.scheduler.now(), admitted)
+        caller.refuse(status, reason, retryAfterMs)
+        finish(reason)
+    }
+
+    private fun breakOff(reason: String) {
+        caller.abort()
+        finish("broken-off: $reason")
+    }
+
+    private fun finish(outcome: String) {
+        if (isEnded) return
+        isEnded = true
+        stopWaiting()
+        deadlineTimer.cancel()
+        silenceTimer?.cancel()
+        body.release()
+        serving.runningCalls--
+        log.info {
+            "call ${call.id} route=${route.name} workspace=${admitted.workspace?.name} adapter=${call.adapter} " +
+                "target=${attempt?.target?.id} arrivals=$arrivals sentMs=${sentAt?.let { it - arrivedAt }} " +
+                "headMs=${begunAt?.let { it - arrivedAt }} ms=${serving.scheduler.now() - arrivedAt} outcome=$outcome"
+        }
+    }
+
+    private companion object {
+        const val MIN_SILENCE_MS = 250L
+        const val SERVER_ERROR = 500
+        const val MISDIRECTED = 421
+        const val BAD_GATEWAY = 502
+        const val UNAVAILABLE = 503
+        const val GATEWAY_TIMEOUT = 504
+    }
+}
--- /dev/null
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
@@ -0,0 +1,300 @@
+/*
+ * One connection from a caller: reads one request at a time, refuses malformed ones, and writes the answers.
+ */
+package io.skylarkstile.gateway.relay
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.TooLongFrameException
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpRequestDecoder
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import io.skylarkstile.gateway.admission.Admission
+import io.skylarkstile.gateway.main.Timer
+import io.skylarkstile.gateway.model.CallHead
+import io.skylarkstile.gateway.model.CallerLimits
+
+private val log = KotlinLogging.logger {}
+
+/** Limits before the first configuration is known. */
+private val defaultLimits = CallerLimits(headerBytes = 16_384, bodyBytes = 4_194_304, headerTimeoutMs = 3_000, idleTimeoutMs = 15_000)
+
+/** Refuses a request that names both a length and chunks: the two ends could disagree about where it ends. */
+internal class StrictRequestDecoder(
+    headerBytes: Int,
+) : HttpRequestDecoder(headerBytes, headerBytes, CHUNK_BYTES) {
+    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
+        throw IllegalArgumentException("both a length and chunks")
+
+    private companion object {
+        const val CHUNK_BYTES = 8_192
+    }
+}
+
+/** Handles one connection; runs on the event loop. */
+internal class CallerConnection(
+    private val serving: Serving,
+) : ChannelInboundHandlerAdapter() {
+    private lateinit var ctx: ChannelHandlerContext
+    private val queued = ArrayDeque<Any>()
+    private var request: HttpRequest? = null
+    private var body: ByteBuf = Unpooled.EMPTY_BUFFER
+    private var run: CallRun? = null
+    private var isBusy = false
+    private var isKeepAlive = true
+    private var isClosing = false
+    private var timer: Timer? = null
+
+    /** True while no request has begun to arrive or is being answered. */
+    val isIdle: Boolean get() = !isBusy && request == null && queued.isEmpty()
+    private val limits: CallerLimits get() = serving.configuration?.limits ?: defaultLimits
+
+    override fun channelActive(ctx: ChannelHandlerContext) {
+        this.ctx = ctx
+        waitForRequest()
+    }
+
+    /** Closes the connection if it is idle. */
+    fun closeIfIdle() {
+        if (isIdle) ctx.close()
+    }
+
+    override fun channelRead(
+        ctx: ChannelHandlerContext,
+        message: Any,
+    ) {
+        if (isClosing) {
+            ReferenceCountUtil.release(message)
+        } else if (isBusy) {
+            queued.addLast(message)
+            ctx.channel().config().isAutoRead = false
+        } else {
+            take(message)
+        }
+    }
+
+    private fun take(message: Any) {
+        try {
+            if (message is HttpRequest) begin(message)
+            if (message is HttpContent && request != null && !isBusy) append(message)
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    private fun begin(message: HttpRequest) {
+        val failure = message.decoderResult().cause()
+        if (failure != null) return reject(if (failure is TooLongFrameException) HEADERS_TOO_LARGE else BAD_REQUEST, "malformed request")
+        if (message.headers().contains(HttpHeaderNames.TRANSFER_ENCODING) && !HttpUtil.isTransferEncodingChunked(message)) {
+            return reject(BAD_REQUEST, "unknown transfer encoding")
+        }
+        request = message
+        body = Unpooled.EMPTY_BUFFER
+        isKeepAlive = HttpUtil.isKeepAlive(message)
+        timer?.cancel()
+        timer = serving.scheduler.after(limits.headerTimeoutMs * BODY_TIMEOUTS) { reject(REQUEST_TIMEOUT, "request incomplete") }
+        if (HttpUtil.getContentLength(message, 0L) > limits.bodyBytes) return reject(TOO_LARGE, "body too large")
+        if (HttpUtil.is100ContinueExpected(
+                message,
+            )
+        ) {
+            ctx.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
+        }
+    }
+
+    private fun append(part: HttpContent) {
+        if (part.decoderResult().isFailure) return reject(BAD_REQUEST, "malformed body")
+        val data = part.content()
+        if (body.readableBytes() + data.readableBytes() > limits.bodyBytes) return reject(TOO_LARGE, "body too large")
+        if (data.isReadable) {
+            if (body === Unpooled.EMPTY_BUFFER) body = ctx.alloc().buffer(data.readableBytes())
+            body.writeBytes(data)
+        }
+        if (part is LastHttpContent) dispatch()
+    }
+
+    private fun dispatch() {
+        timer?.cancel()
+        val message = request ?: return
+        val arrivedAt = serving.scheduler.now()
+        request = null
+        val content = body
+        body = Unpooled.EMPTY_BUFFER
+        val call = serving.codec.readCallOrNull(message)
+        if (call == null) {
+            content.release()
+            return reject(BAD_REQUEST, "improper request")
+        }
+        isBusy = true
+        when (val admission = serving.admission.admit(arrivedAt, call, serving.configuration)) {
+            is Admission.Refused -> {
+                content.release()
+                log.info {
+                    "call ${call.id} refused status=${admission.status} reason=${admission.reason} configuration=${serving.configuration?.version}"
+                }
+                Answering(call).refuse(admission.status, admission.reason, admission.retryAfterMs)
+            }
+
+            is Admission.Admitted -> {
+                val started = CallRun(serving, Answering(call), call, content, admission, serviceOf(admission), arrivedAt)
+                run = started
+                started.start()
+            }
+        }
+    }
+
+    private fun serviceOf(admission: Admission.Admitted): String {
+        val services = admission.route.services
+        var mark = serving.random() * services.sumOf { it.weight }
+        return (services.firstOrNull { service -> (mark - service.weight).also { mark = it } < 0 } ?: services.last()).service
+    }
+
+    private fun reject(
+        status: Int,
+        detail: String,
+    ) {
+        if (isClosing) return
+        log.info { "refused a request of ${ctx.channel().remoteAddress()}: $detail" }
+        isClosing = true
+        dropRequest()
+        val answer = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.EMPTY_BUFFER)
+        HttpUtil.setContentLength(answer, 0)
+        answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        ctx.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE)
+    }
+
+    private fun dropRequest() {
+        timer?.cancel()
+        request = null
+        if (body.refCnt() > 0) body.release()
+        body = Unpooled.EMPTY_BUFFER
+    }
+
+    private fun answered(isKept: Boolean) {
+        run = null
+        isBusy = false
+        if (!isKept || isClosing) {
+            isClosing = true
+            return
+        }
+        while (queued.isNotEmpty() && !isBusy && !isClosing) take(queued.removeFirst())
+        if (!isBusy && !isClosing) {
+            ctx.channel().config().isAutoRead = true
+            if (request == null) waitForRequest()
+        }
+    }
+
+    private fun waitForRequest() {
+        timer?.cancel()
+        timer = serving.scheduler.after(limits.idleTimeoutMs) { closeIfIdle() }
+    }
+
+    override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
+        run?.callerWritable(ctx.channel().isWritable)
+    }
+
+    override fun channelInactive(ctx: ChannelHandlerContext) {
+        isClosing = true
+        dropRequest()
+        queued.forEach(ReferenceCountUtil::release)
+        queued.clear()
+        run?.callerLeft()
+        run = null
+    }
+
+    override fun exceptionCaught(
+        ctx: ChannelHandlerContext,
+        cause: Throwable,
+    ) {
+        log.debug { "connection of ${ctx.channel().remoteAddress()} failed: ${cause.message}" }
+        ctx.close()
+    }
+
+    /** Writes the answer to [call]. */
+    private inner class Answering(
+        private val call: CallHead,
+    ) : Caller {
+        private var isChunked = false
+        override val isWritable: Boolean get() = ctx.channel().isWritable
+
+        override fun refuse(
+            status: Int,
+            reason: String,
+            retryAfterMs: Long?,
+        ) {
+            val answer = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.EMPTY_BUFFER)
+            HttpUtil.setContentLength(answer, 0)
+            serving.codec.ownAnswer(answer.headers(), call.id, retryAfterMs)
+            closing(answer.headers())
+            end(ctx.writeAndFlush(answer))
+        }
+
+        override fun begin(
+            status: Int,
+            reasonPhrase: String,
+            headers: HttpHeaders,
+            contentLength: Long?,
+        ) {
+            val answer = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus(status, reasonPhrase), headers)
+            if (contentLength != null) {
+                headers.set(HttpHeaderNames.CONTENT_LENGTH, contentLength)
+            } else {
+                isChunked = true
+                HttpUtil.setTransferEncodingChunked(answer, true)
+            }
+            closing(headers)
+            ctx.write(answer)
+        }
+
+        override fun part(data: ByteBuf) {
+            ctx.write(partOf(data))
+        }
+
+        override fun flush() {
+            ctx.flush()
+        }
+
+        override fun end() = end(ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
+
+        override fun abort() {
+            isClosing = true
+            run = null
+            ctx.close()
+        }
+
+        private fun closing(headers: HttpHeaders) {
+            if (serving.isLeaving) isKeepAlive = false
+            if (!isKeepAlive) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        }
+
+        private fun end(written: io.netty.channel.ChannelFuture) {
+            if (!isKeepAlive) written.addListener(ChannelFutureListener.CLOSE)
+            answered(isKeepAlive)
+        }
+    }
+
+    private companion object {
+        const val BAD_REQUEST = 400
+        const val REQUEST_TIMEOUT = 408
+        const val TOO_LARGE = 413
+        const val HEADERS_TOO_LARGE = 431
+
+        /** A whole request may take this many times as long as its head. */
+        const val BODY_TIMEOUTS = 3
+    }
+}
--- /dev/null
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/Serving.kt
@@ -0,0 +1,87 @@
+/*
+ * What the calls of one instance share: the configuration in force, the targets, and the deciding parts.
+ */
+package io.skylarkstile.gateway.relay
+
+import io.skylarkstile.gateway.adapter.AdapterPlacement
+import io.skylarkstile.gateway.admission.CallAdmission
+import io.skylarkstile.gateway.main.Scheduler
+import io.skylarkstile.gateway.model.AdapterName
+import io.skylarkstile.gateway.model.AdapterVersion
+import io.skylarkstile.gateway.model.Bounds
+import io.skylarkstile.gateway.model.Configuration
+import io.skylarkstile.gateway.retry.RetryAllowance
+import io.skylarkstile.gateway.target.TargetChoice
+import io.skylarkstile.gateway.target.TargetState
+import io.skylarkstile.gateway.target.TargetTable
+
+/** Takes note of adapters that calls wait for or use. */
+interface AdapterDemand {
+    /** A call waits for [adapter] on [target]. */
+    fun wish(
+        target: TargetState,
+        adapter: AdapterVersion,
+    )
+
+    /** A call for [adapter] has arrived. */
+    fun asked(adapter: AdapterVersion)
+}
+
+/** Holds the shared parts; runs on the event loop. */
+internal class Serving(
+    val bounds: Bounds,
+    val scheduler: Scheduler,
+    val codec: CallCodec,
+    val pool: TargetPool,
+    val targets: TargetTable,
+    val choice: TargetChoice,
+    val placement: AdapterPlacement,
+    val admission: CallAdmission,
+    val demand: AdapterDemand,
+    val random: () -> Double,
+) {
+    private val allowances = HashMap<String, RetryAllowance>()
+    private val waiting = LinkedHashSet<CallRun>()
+    var configuration: Configuration? = null
+    val versions = HashMap<AdapterName, Long>()
+
+    /** Instances that share the fleet-wide bounds, this one included. */
+    var instances = 1
+    var isLeaving = false
+    var runningCalls = 0
+
+    fun allowance(service: String): RetryAllowance =
+        allowances.getOrPut(service) { RetryAllowance(bounds.retryRatio, bounds.retrySlack, bounds.retryWindowMs) }
+
+    /** Returns the version of [name] that calls run on now. */
+    fun current(name: AdapterName): AdapterVersion = AdapterVersion(name, versions[name] ?: FIRST_VERSION)
+
+    /** Returns how many connections this instance may open to one target of [service]. */
+    fun connectionLimit(service: String): Int {
+        val limit = configuration?.services?.get(service)?.maxConnections ?: return Int.MAX_VALUE
+        return (limit * CONNECTION_SHARE / instances).toInt().coerceAtLeast(2)
+    }
+
+    fun await(run: CallRun) {
+        waiting.add(run)
+    }
+
+    fun stopAwaiting(run: CallRun) {
+        waiting.remove(run)
+    }
+
+    /** Lets the calls that wait for an adapter on [target] look again. */
+    fun adaptersChanged(target: String) {
+        waiting.filter { it.awaitsTarget == target }.forEach { it.lookAgain() }
+    }
+
+    /** Returns the number of calls that wait for an adapter. */
+    val waitingCalls: Int get() = waiting.size
+
+    private companion object {
+        const val FIRST_VERSION = 1L
+
+        /** Part of a target's connections that the instances use together; the rest covers instances that come and go. */
+        const val CONNECTION_SHARE = 0.9
+    }
+}
--- /dev/null
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/KindWatch.kt
@@ -0,0 +1,133 @@
+/*
+ * Follows all objects of one kind: a list, then one watch after the other. It also tells up to which moment the view is known to be
+ * current, since permissions end when that is too long ago.
+ */
+package io.skylarkstile.gateway.store
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.skylarkstile.gateway.main.Scheduler
+
+private val log = KotlinLogging.logger {}
+
+private const val FIRST_BACKOFF_MS = 100L
+private const val LONGEST_BACKOFF_MS = 800L
+
+/** Receives what a [KindWatch] sees. */
+interface KindListener {
+    /** Replaces the whole view. [afterOutage] is set when the store could not be read for a while before. */
+    fun listed(
+        page: StorePage,
+        now: Long,
+        afterOutage: Boolean,
+    )
+
+    /** Applies changes; an object without content was removed. */
+    fun changed(
+        page: StorePage,
+        now: Long,
+        afterOutage: Boolean,
+    )
+
+    /** Notes that the view was current at time [at]. */
+    fun confirmed(at: Long)
+}
+
+/**
+ * Follows [kind]; one watch waits at most [waitMs] milliseconds, and the next one starts [pauseMs] after a change, which bounds the calls
+ * when many objects change. Not thread-safe.
+ */
+class KindWatch(
+    private val kind: StoreKind,
+    private val store: SharedStore,
+    private val scheduler: Scheduler,
+    private val listener: KindListener,
+    private val waitMs: Long,
+    private val pauseMs: Long,
+) {
+    private var revision: Long? = null
+    private var backoffMs = FIRST_BACKOFF_MS
+    private var failedSince: Long? = null
+    private var outageEndedAt: Long? = null
+    private var stopped = false
+
+    /** Starts following. */
+    fun start() = next()
+
+    /** Ends following after the call under way. */
+    fun stop() {
+        stopped = true
+    }
+
+    private fun next() {
+        if (stopped) return
+        val after = revision
+        val sentAt = scheduler.now()
+        if (after == null) {
+            store.list(kind) { listed(it, sentAt) }
+        } else {
+            store.watch(kind, after, waitMs) { watched(it, sentAt) }
+        }
+    }
+
+    private fun listed(
+        result: StoreResult<StorePage>,
+        sentAt: Long,
+    ) {
+        if (result !is StoreResult.Success) return failed(result)
+        val now = scheduler.now()
+        recovered(now)
+        revision = result.value.revision
+        listener.listed(result.value, now, isAfterOutage(now))
+        listener.confirmed(sentAt)
+        next()
+    }
+
+    private fun watched(
+        result: StoreResult<StorePage>,
+        sentAt: Long,
+    ) {
+        if (result !is StoreResult.Success) return failed(result)
+        val now = scheduler.now()
+        recovered(now)
+        val page = result.value
+        revision = maxOf(revision ?: 0, page.revision)
+        if (page.objects.isEmpty()) {
+            // Without a change the store answers only after the whole wait, so the view was current at least until then.
+            listener.confirmed(maxOf(sentAt, minOf(now, sentAt + waitMs)))
+            return next()
+        }
+        listener.changed(page, now, isAfterOutage(now))
+        listener.confirmed(sentAt)
+        if (pauseMs > 0) scheduler.after(pauseMs) { next() } else next()
+    }
+
+    private fun failed(result: StoreResult<*>) {
+        val now = scheduler.now()
+        if (result == StoreResult.HistoryGone) {
+            log.info { "history of $kind is gone, listing it anew" }
+            revision = null
+            return next()
+        }
+        if (failedSince == null) {
+            failedSince = now
+            log.warn { "lost the store for $kind: $result" }
+        }
+        scheduler.after(backoffMs) { next() }
+        backoffMs = minOf(backoffMs * 2, LONGEST_BACKOFF_MS)
+    }
+
+    private fun recovered(now: Long) {
+        backoffMs = FIRST_BACKOFF_MS
+        val since = failedSince ?: return
+        failedSince = null
+        outageEndedAt = now
+        log.info { "regained the store for $kind after ${now - since} ms" }
+    }
+
+    private fun isAfterOutage(now: Long): Boolean = outageEndedAt?.let { now - it < OUTAGE_MEMORY_MS } ?: false
+
+    private companion object {
+        /** Removals within this time of a regained store may be entries that lapsed meanwhile, in milliseconds. */
+        const val OUTAGE_MEMORY_MS = 2_500L
+    }
+}
