--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterBook.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterBook.kt
@@ -76,8 +76,9 @@
         var readyAt: Long?,
         var usedAt: Long,
     ) {
-        /** Set while runs still hold an adapter that was told to leave. */
-        var isLeaving = false
+        /** Time from which the adapter may be told to leave; it isn't offered to calls any more. */
+        var leaveAt: Long? = null
+        var checks = 0
     }
 
     private class Wish(
@@ -96,13 +97,13 @@
     /** Returns whether the target has to be asked for a report before the next order. */
     val needsReport: Boolean get() = orders == null
 
-    /** Returns the earliest expected end of a load, or null when none runs. */
-    val nextReadyAt: Long? get() = places.values.mapNotNull { it.readyAt }.minOrNull()
+    /** Returns when the next order is due without a new wish, or null. */
+    val nextDueAt: Long? get() = places.values.mapNotNull { it.readyAt ?: it.leaveAt }.minOrNull()
     val hasWishes: Boolean get() = wishes.isNotEmpty()
 
     /** Returns all adapters with their phases. */
     fun phases(): Map<AdapterVersion, AdapterPhase> = places
-        .filterValues { !it.isLeaving }
+        .filterValues { it.leaveAt == null }
         .mapValues { (_, place) -> place.readyAt?.let { AdapterPhase.Loading(it) } ?: AdapterPhase.Present }
 
     /** Notes that a call waits for [adapter]. Returns false when it is there already. */
@@ -113,6 +114,8 @@
         val place = places[adapter]
         if (place != null) {
             place.usedAt = now
+            // The order to leave wasn't sent yet.
+            if (place.leaveAt != Long.MAX_VALUE) place.leaveAt = null
             return place.readyAt != null
         }
         wishes.getOrPut(adapter) { Wish(now, now) }.until = now + WISH_MS
@@ -154,11 +157,47 @@
     ): AdapterOrder? {
         if (orders == null) return null
         wishes.values.removeIf { it.until < now }
-        places.entries.firstOrNull { (it.value.readyAt ?: Long.MAX_VALUE) <= now }?.let { return AdapterOrder.Check(it.key) }
-        if (places.values.count { it.readyAt != null } >= LOADS_AT_ONCE) return null
-        val wanted = wishes.keys.maxByOrNull { popularity.rate("$it", now) } ?: return null
-        if (places.size < capacity) return AdapterOrder.Load(wanted)
-        return victimOrNull(now, inUse, isCurrent, wishes.getValue(wanted).since)?.let { AdapterOrder.Unload(it) }
+        dueCheckOrNull(now, isCurrent)?.let { return it }
+        if (orders == null) return null
+        dueUnloadOrNull(now, inUse)?.let { return it }
+        val wanted = wishes.keys.maxByOrNull { popularity.rate("$it", now) }
+        makeRoom(now, inUse, isCurrent, wanted)
+        if (wanted == null || places.size >= capacity || places.values.count { it.readyAt != null } >= LOADS_AT_ONCE) return null
+        return AdapterOrder.Load(wanted)
+    }
+
+    private fun dueCheckOrNull(
+        now: Long,
+        isCurrent: (AdapterVersion) -> Boolean,
+    ): AdapterOrder? {
+        val due = places.entries.firstOrNull { (it.value.readyAt ?: Long.MAX_VALUE) <= now } ?: return null
+        if (isCurrent(due.key)) return AdapterOrder.Check(due.key)
+        // A newer version was announced during the load: repeating it would order that one, so a report has to tell what came.
+        doubt()
+        return null
+    }
+
+    private fun dueUnloadOrNull(
+        now: Long,
+        inUse: (AdapterVersion) -> Boolean,
+    ): AdapterOrder? {
+        val due = places.entries.firstOrNull { (it.value.leaveAt ?: Long.MAX_VALUE) <= now } ?: return null
+        if (!inUse(due.key)) return AdapterOrder.Unload(due.key)
+        due.value.leaveAt = null
+        return null
+    }
+
+    /** Marks adapters that have to leave so that a place is free before it is wanted: a call then waits for the load only. */
+    private fun makeRoom(
+        now: Long,
+        inUse: (AdapterVersion) -> Boolean,
+        isCurrent: (AdapterVersion) -> Boolean,
+        wanted: AdapterVersion?,
+    ) {
+        val free = capacity - places.size + places.values.count { it.leaveAt != null }
+        if (free >= minOf(SPARE_PLACES + wishes.size, LOADS_AT_ONCE)) return
+        val since = wanted?.let { wishes.getValue(it).since } ?: now
+        victimOrNull(now, inUse, isCurrent, since)?.let { places.getValue(it).leaveAt = now + LEAVE_MS }
     }
 
     private fun victimOrNull(
@@ -167,7 +206,7 @@
         isCurrent: (AdapterVersion) -> Boolean,
         waitingSince: Long,
     ): AdapterVersion? {
-        val idle = places.filter { it.value.readyAt == null && !it.value.isLeaving && it.key !in wishes && !inUse(it.key) }
+        val idle = places.filter { it.value.readyAt == null && it.value.leaveAt == null && it.key !in wishes && !inUse(it.key) }
         val handles =
             idle.map { (adapter, place) ->
                 IdleHandle("$adapter", isCurrent(adapter), popularity.rate("$adapter", now), place.usedAt)
@@ -185,7 +224,7 @@
         when (outcome) {
             OrderOutcome.Accepted -> accepted(order, now)
             OrderOutcome.Done -> done(order, now)
-            OrderOutcome.Conflict -> if (order is AdapterOrder.Check) postpone(order, now) else doubt()
+            OrderOutcome.Conflict -> conflict(order, now)
             OrderOutcome.Rejected -> rejected(order)
             OrderOutcome.Unknown -> unknown(order, now)
         }
@@ -205,7 +244,7 @@
 
             is AdapterOrder.Unload -> {
                 // Runs still hold it, so its place is free only once a report doesn't show it any more.
-                places[order.adapter]?.isLeaving = true
+                places[order.adapter]?.leaveAt = Long.MAX_VALUE
                 doubt()
             }
 
@@ -230,6 +269,15 @@
         if (atHand.size > KEPT_AT_HAND) atHand.remove(atHand.first())
     }
 
+    /** A load that is still under way answers like one whose expected number is wrong; after some tries a report has to tell. */
+    private fun conflict(
+        order: AdapterOrder,
+        now: Long,
+    ) {
+        val place = places[order.adapter]
+        if (order is AdapterOrder.Check && place != null && place.checks++ < MOST_CHECKS) postpone(order, now) else doubt()
+    }
+
     private fun rejected(order: AdapterOrder) {
         wishes.remove(order.adapter)
         places.remove(order.adapter)
@@ -259,5 +307,12 @@
     private companion object {
         /** Time after which a load that hasn't ended is asked for again, in milliseconds. */
         const val CHECK_AGAIN_MS = 40L
+        const val MOST_CHECKS = 5
+
+        /** Places that are kept free. */
+        const val SPARE_PLACES = 1
+
+        /** Time for the other instances to learn that an adapter leaves before it is unloaded, in milliseconds. */
+        const val LEAVE_MS = 25L
     }
 }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterHolder.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterHolder.kt
@@ -97,12 +97,13 @@
         if (!known.target.entry.isReady) return
         if (known.book.needsReport) return report(known, now)
         val next = known.book.nextOrNull(now, { fleet.isInUse(known.target, it) }, { fleet.current(it.name) == it })
+        if (known.target.adapters != known.book.phases()) publish(known)
         if (next == null) return sleep(known, now)
         known.isBusy = true
-        val stamp = OrderStamp(name, token, known.book.orders.takeIf { next !is AdapterOrder.Check })
+        val stamp = OrderStamp(name, token, checkNotNull(known.book.orders))
         orders.order(known.target.entry, next, stamp) { outcome ->
             known.isBusy = false
-            if (outcome != OrderOutcome.Accepted && outcome != OrderOutcome.Done && next !is AdapterOrder.Check) {
+            if (outcome != OrderOutcome.Accepted && outcome != OrderOutcome.Done) {
                 log.info { "order target=${known.target.id} order=$next expected=${stamp.expected} token=$token outcome=$outcome" }
             }
             known.book.answered(next, outcome, scheduler.now())
@@ -139,9 +140,10 @@
         known: Held,
         now: Long,
     ) {
-        val readyAt = known.book.nextReadyAt
+        val dueAt = known.book.nextDueAt
         when {
-            readyAt != null -> wake(known, (readyAt - now).coerceIn(1, IDLE_LOOK_MS))
+            known.book.needsReport -> wake(known, REPORT_DELAY_MS)
+            dueAt != null -> wake(known, (dueAt - now).coerceIn(1, IDLE_LOOK_MS))
             known.book.hasWishes -> wake(known, IDLE_LOOK_MS)
         }
     }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterPlacement.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterPlacement.kt
@@ -13,11 +13,14 @@
 import io.skylarkstile.gateway.target.TargetChoice
 import io.skylarkstile.gateway.target.TargetState
 
-/** A further copy is loaded once every target that has the adapter is loaded by this part of its slots. */
-private const val COPY_LOAD = 0.8
+/** A further copy is loaded once the delay at every target that has the adapter reaches this, in milliseconds. */
+private const val COPY_DELAY_MS = 150.0
 
-/** A target this loaded isn't chosen for a first copy while a target further down the order is less loaded. */
-private const val BUSY_LOAD = 1.2
+/** A further copy goes only to a target whose delay is this part of the best copy's. */
+private const val COPY_GAIN = 0.4
+
+/** A target with this delay isn't chosen for a first copy while a target further down the order is faster, in milliseconds. */
+private const val BUSY_DELAY_MS = 250.0
 
 /** Tells what to do with a call for an adapter. */
 sealed interface Placement {
@@ -51,12 +54,12 @@
         val open = usable.filter { !it.health.isPaused(now) }.ifEmpty { usable }
         if (open.isEmpty()) return Placement.None
         val holders = open.filter { it.adapters[adapter] == AdapterPhase.Present }
-        val best = holders.minByOrNull { choice.cost(now, it) }
+        val best = holders.minByOrNull { choice.delayMs(now, it) }
         if (best != null) return Placement.Run(best)
         val loading = open.mapNotNull { target -> (target.adapters[adapter] as? AdapterPhase.Loading)?.let { target to it.readyAt } }
         loading.minByOrNull { it.second }?.let { (target, readyAt) -> return Placement.Await(target, readyAt) }
         val orderable = open.filter { it.isOrderable(now) }
-        return if (orderable.isEmpty()) Placement.None else Placement.Await(homeOf(now, adapter.name, orderable), null)
+        return if (orderable.isEmpty()) Placement.None else Placement.Await(homeOf(now, adapter, orderable), null)
     }
 
     /** Returns the target that should load a further copy of [adapter] because those that have it are busy. */
@@ -66,27 +69,35 @@
         candidates: List<TargetState>,
     ): TargetState? {
         val holders = candidates.filter { adapter in it.adapters }
-        if (holders.isEmpty() || holders.any { it.load < COPY_LOAD || it.adapters[adapter] is AdapterPhase.Loading }) return null
-        return ordered(adapter.name, candidates - holders.toSet())
-            .firstOrNull { it.load < COPY_LOAD / 2 && it.isOrderable(now) && !it.health.isPaused(now) }
+        if (holders.isEmpty() || holders.any { it.adapters[adapter] is AdapterPhase.Loading }) return null
+        val best = holders.minOf { choice.delayMs(now, it) }
+        if (best < COPY_DELAY_MS) return null
+        return ordered(adapter.name, candidates - holders.toSet()).firstOrNull {
+            isFreeFor(now, adapter, it) &&
+                choice.delayMs(now, it) < best * COPY_GAIN
+        }
     }
 
     private fun homeOf(
         now: Long,
-        adapter: AdapterName,
+        adapter: AdapterVersion,
         open: List<TargetState>,
     ): TargetState {
-        val order = ordered(adapter, open)
-        return order.firstOrNull { it.load < BUSY_LOAD && it.health.failureShare(now) < FAILING_SHARE } ?: order.first()
+        val order = ordered(adapter.name, open)
+        return order.firstOrNull { isFreeFor(now, adapter, it) && choice.delayMs(now, it) < BUSY_DELAY_MS }
+            ?: order.firstOrNull { isFreeFor(now, adapter, it) }
+            ?: order.first()
     }
 
+    /** A target that has another version would have to end its runs before the load, and take no other order meanwhile. */
+    private fun isFreeFor(
+        now: Long,
+        adapter: AdapterVersion,
+        target: TargetState,
+    ): Boolean = target.isOrderable(now) && !target.health.isPaused(now) && target.adapters.keys.none { it.name == adapter.name }
+
     private fun ordered(
         adapter: AdapterName,
         targets: List<TargetState>,
     ): List<TargetState> = targets.sortedBy { stableHash("$adapter|${it.id}") }
-
-    private companion object {
-        /** Share of failures from which a target isn't chosen for a first copy while another one can take it. */
-        const val FAILING_SHARE = 0.3
-    }
 }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/TargetOrders.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/TargetOrders.kt
@@ -5,11 +5,11 @@
 
 import io.skylarkstile.gateway.model.TargetEntry
 
-/** Who gives an order, and after how many accepted ones; [expected] is null where that doesn't matter. */
+/** Who gives an order, and after how many accepted ones it may be carried out, so that a late one is refused. */
 data class OrderStamp(
     val holder: String,
     val token: Long,
-    val expected: Long?,
+    val expected: Long,
 )
 
 /** Sends orders and asks for reports; outcomes are handed to `done` on the event loop. */
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/CallAdmission.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/CallAdmission.kt
@@ -25,6 +25,7 @@
         val status: Int,
         val reason: String,
         val retryAfterMs: Long?,
+        val workspace: String? = null,
     ) : Admission
 }
 
@@ -47,7 +48,7 @@
         val workspace = call.key?.let(configuration::workspaceOrNull) ?: return Admission.Refused(401, "unknown-key", null)
         val share = shares.shareOrNull(workspace) ?: return Admission.Admitted(route, workspace, 0)
         val cost = if (call.hasTokens) call.promptTokens + call.outputTokens else share.rate.plainTokens
-        if (!share.admit(now, cost)) return Admission.Refused(429, "over-rate", share.waitMs(now, cost))
+        if (!share.admit(now, cost)) return Admission.Refused(429, "over-rate", share.waitMs(now, cost), workspace.name)
         return Admission.Admitted(route, workspace, cost)
     }
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -180,7 +180,7 @@
     /** Returns the state for a dump. */
     fun dump(): String {
         val now = scheduler.now()
-        val lines = targets.all.map { "${it.id} ${it.entry.service} calls=${it.ownCalls}+${it.peerCalls} adapters=${it.adapters}" }
+        val lines = targets.all.map { "${it.id} ${it.entry.service} own=${it.ownWeight} peers=${it.peerWeight} adapters=${it.adapters}" }
         return "instances ${membership.set.members.keys} keysAgeMs=${keyFreshness.ageOrNull(now)} waiting=${serving.waitingCalls}\n" +
             lines.joinToString("\n")
     }
@@ -238,6 +238,13 @@
     }
 
     private fun targetsChanged() {
+        targets.all.forEach {
+            it.memoryTokens = serving.configuration
+                ?.services
+                ?.get(it.entry.service)
+                ?.engine
+                ?.memoryTokens ?: 0
+        }
         lease.refresh(targets.all.map { it.id })
         holder.refresh()
     }
@@ -270,6 +277,7 @@
                     if (before != null && configuration.revision <= before.revision) return
                     serving.configuration = configuration
                     shares.configure(now, configuration, exchange.instances())
+                    targetsChanged()
                     log.info { "configuration version=${configuration.version} revision=${configuration.revision} in force" }
                 }
         }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/Configuration.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/Configuration.kt
@@ -70,6 +70,8 @@
 /** Describes the engine of a service's targets. */
 data class Engine(
     val slots: Int,
+    /** Tokens of running calls and kept prompts that fit into a target's memory. */
+    val memoryTokens: Int,
     val adapterCapacity: Int,
     val weightsMb: Double,
     val loadsPerSecond: Double,
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
@@ -12,6 +12,7 @@
 import io.skylarkstile.gateway.model.AdapterVersion
 import io.skylarkstile.gateway.relay.AdapterDemand
 import io.skylarkstile.gateway.target.AdapterPhase
+import io.skylarkstile.gateway.target.CallWeight
 import io.skylarkstile.gateway.target.TargetState
 import io.skylarkstile.gateway.target.TargetTable
 import io.skylarkstile.schema.generated.AdapterWish
@@ -150,9 +151,11 @@
     }
 
     private fun recount() {
-        val counts = HashMap<String, Int>()
-        board.states().forEach { state -> state.calls.forEach { counts.merge(it.target, it.calls, Int::plus) } }
-        targets.all.forEach { it.peerCalls = counts[it.id] ?: 0 }
+        val weights = HashMap<String, CallWeight>()
+        board.states().forEach { state ->
+            state.calls.forEach { weights.merge(it.target, CallWeight(it.calls, it.tokens, it.unreadTokens), CallWeight::plus) }
+        }
+        targets.all.forEach { it.peerWeight = weights[it.id] ?: CallWeight.NONE }
     }
 
     private fun tell() {
@@ -163,16 +166,7 @@
                 startedAt = self.startedAt,
                 number = ++number,
                 isLeaving = isLeaving(),
-                calls =
-                    targets.all.filter { it.ownCalls > 0 }.map {
-                        TargetCalls(
-                            it.id,
-                            it.ownCalls,
-                            it.adapterCalls.keys.map { a ->
-                                "$a"
-                            },
-                        )
-                    },
+                calls = targets.all.filter { it.ownWeight.calls > 0 }.map(::callsOn),
                 demands = shares.demands(now).map { (name, demand) -> WorkspaceDemand(name, demand) },
                 asked = asked.toList(),
                 held = holder.orderable(now).map { held(it, now) },
@@ -181,6 +175,11 @@
         send(GatewayDatagram(sender = self.name, state = state), others.map { it.peers })
     }
 
+    private fun callsOn(target: TargetState): TargetCalls {
+        val weight = target.ownWeight
+        return TargetCalls(target.id, weight.calls, weight.tokens, weight.unreadTokens, target.adapterCalls.keys.map { "$it" })
+    }
+
     private fun held(
         target: TargetState,
         now: Long,
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -21,6 +21,7 @@
 import io.skylarkstile.gateway.model.CallHead
 import io.skylarkstile.gateway.model.Dispatch
 import io.skylarkstile.gateway.model.Repeatability
+import io.skylarkstile.gateway.target.CallWeight
 import io.skylarkstile.gateway.target.TargetState
 import kotlin.math.max
 import kotlin.math.min
@@ -62,6 +63,8 @@
 
     private val route = admitted.route
     private val deadlineAt = arrivedAt + min(call.waitMs ?: Long.MAX_VALUE, route.timeoutMs)
+    private val weight =
+        CallWeight(1, if (call.hasTokens) call.promptTokens + call.outputTokens else 0, if (call.hasTokens) call.promptTokens else 0)
     private val tried = LinkedHashSet<String>()
     private val events = if (route.repeatability == Repeatability.ResumableStream) EventSplitter() else null
     private var arrivals = 0
@@ -91,6 +94,9 @@
         var connection: TargetConnection? = null
         var isOver = false
         var head: AnswerHead? = null
+
+        /** What the target still counts for this attempt. */
+        var weight = CallWeight.NONE
     }
 
     /** Begins the call. */
@@ -172,7 +178,8 @@
         }
         val started = Attempt(target, adapter, now)
         attempt = started
-        target.begin(adapter)
+        started.weight = weight
+        target.begin(weight, adapter)
         serving.pool.acquire(target.entry.address) { connection -> connected(started, connection) }
     }
 
@@ -239,6 +246,8 @@
         val running = attempt ?: return
         silenceTimer?.cancel()
         running.head = head
+        running.target.read(running.weight.unreadTokens)
+        running.weight = running.weight.copy(unreadTokens = 0)
         val isSuccess = head.status in 200..299
         mode =
             when {
@@ -408,7 +417,7 @@
 
     private fun release(running: Attempt) {
         running.isOver = true
-        running.target.end(running.adapter)
+        running.target.end(running.weight, running.adapter)
         running.connection?.setReading(true)
     }
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
@@ -145,7 +145,7 @@
             is Admission.Refused -> {
                 content.release()
                 log.info {
-                    "call ${call.id} refused status=${admission.status} reason=${admission.reason} configuration=${serving.configuration?.version}"
+                    "call ${call.id} refused workspace=${admission.workspace} status=${admission.status} reason=${admission.reason} configuration=${serving.configuration?.version}"
                 }
                 Answering(call).refuse(admission.status, admission.reason, admission.retryAfterMs)
             }
--- /dev/null
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/CallWeight.kt
@@ -0,0 +1,17 @@
+/*
+ * How heavy calls are for a target.
+ */
+package io.skylarkstile.gateway.target
+
+/** Counts [calls], the [tokens] of their prompts and answers, and the [unreadTokens] of prompts without an answer yet. */
+data class CallWeight(
+    val calls: Int,
+    val tokens: Int,
+    val unreadTokens: Int,
+) {
+    operator fun plus(other: CallWeight) = CallWeight(calls + other.calls, tokens + other.tokens, unreadTokens + other.unreadTokens)
+
+    companion object {
+        val NONE = CallWeight(0, 0, 0)
+    }
+}
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetState.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetState.kt
@@ -23,10 +23,14 @@
     val health = TargetHealth()
 
     /** Calls of this instance that are on the target. */
-    var ownCalls = 0
+    var ownWeight = CallWeight.NONE
+        private set
 
     /** Calls of the other instances, as they last said. */
-    var peerCalls = 0
+    var peerWeight = CallWeight.NONE
+
+    /** Tokens that the target's memory holds; 0 where it has no engine. */
+    var memoryTokens = 0
 
     /** Calls of this instance on the target by adapter. */
     val adapterCalls = HashMap<AdapterVersion, Int>()
@@ -38,18 +42,36 @@
     fun isOrderable(now: Long): Boolean = now < orderableUntil
 
     val id: String get() = entry.id
-    val calls: Int get() = ownCalls + peerCalls
+    val weight: CallWeight get() = ownWeight + peerWeight
 
-    /** Returns the part of the slots that calls occupy; above 1 calls wait. */
-    val load: Double get() = calls.toDouble() / entry.slots.coerceAtLeast(1)
+    /** Returns the part of the slots or of the memory that calls occupy; above 1 calls wait. */
+    val load: Double
+        get() {
+            val weight = weight
+            val memory = if (memoryTokens > 0) weight.tokens.toDouble() / memoryTokens else 0.0
+            return maxOf(weight.calls.toDouble() / entry.slots.coerceAtLeast(1), memory)
+        }
 
-    fun begin(adapter: AdapterVersion?) {
-        ownCalls++
+    /** Counts a call that is sent. */
+    fun begin(
+        call: CallWeight,
+        adapter: AdapterVersion?,
+    ) {
+        ownWeight += call
         if (adapter != null) adapterCalls.merge(adapter, 1, Int::plus)
     }
 
-    fun end(adapter: AdapterVersion?) {
-        ownCalls--
+    /** Counts [promptTokens] as read, because their call has an answer. */
+    fun read(promptTokens: Int) {
+        ownWeight += CallWeight(0, 0, -promptTokens)
+    }
+
+    /** Counts a call that has ended. */
+    fun end(
+        call: CallWeight,
+        adapter: AdapterVersion?,
+    ) {
+        ownWeight += CallWeight(-call.calls, -call.tokens, -call.unreadTokens)
         if (adapter != null) adapterCalls.computeIfPresent(adapter) { _, count -> (count - 1).takeIf { it > 0 } }
     }
 }
--- /dev/null
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/Samples.kt
@@ -0,0 +1,92 @@
+/*
+ * Sample values for the tests of the gateway.
+ */
+package io.skylarkstile.gateway
+
+import io.skylarkstile.gateway.main.Scheduler
+import io.skylarkstile.gateway.main.Timer
+import io.skylarkstile.gateway.model.AdapterName
+import io.skylarkstile.gateway.model.AdapterVersion
+import io.skylarkstile.gateway.model.CallerLimits
+import io.skylarkstile.gateway.model.Configuration
+import io.skylarkstile.gateway.model.Repeatability
+import io.skylarkstile.gateway.model.Route
+import io.skylarkstile.gateway.model.Service
+import io.skylarkstile.gateway.model.TargetEntry
+import io.skylarkstile.gateway.model.WeightedService
+import io.skylarkstile.gateway.model.Workspace
+import io.skylarkstile.gateway.target.TargetState
+import java.net.InetSocketAddress
+
+fun adapter(
+    name: String,
+    version: Long = 1,
+) = AdapterVersion(AdapterName("base", name), version)
+
+fun entry(
+    id: String,
+    slots: Int = 10,
+    dataCentre: String = "dc-1",
+    isReady: Boolean = true,
+    startedAt: Long = 1,
+    service: String = "models",
+    port: Int = 1_000,
+) = TargetEntry(id, service, InetSocketAddress("127.0.0.1", port), dataCentre, slots, isReady, startedAt, emptyList())
+
+fun target(
+    id: String,
+    slots: Int = 10,
+    dataCentre: String = "dc-1",
+) = TargetState(entry(id, slots, dataCentre)).apply { orderableUntil = Long.MAX_VALUE }
+
+fun route(
+    prefix: String,
+    repeatability: Repeatability = Repeatability.Safe,
+    host: String = "host.example",
+    isPublic: Boolean = false,
+    maxAttempts: Int = 2,
+    service: String = "plain",
+    timeoutMs: Long = 1_000,
+) = Route("r$prefix", host, prefix, repeatability, timeoutMs, 100, 0, listOf(WeightedService(service, 1)), maxAttempts, isPublic)
+
+fun configuration(
+    routes: List<Route>,
+    workspaces: List<Workspace> = emptyList(),
+    services: List<Service> = listOf(Service("plain", 100, null)),
+    revision: Long = 1,
+) = Configuration(revision, 1, routes, services.associateBy { it.name }, workspaces, CallerLimits(16_384, 1_048_576, 3_000, 15_000))
+
+/** A scheduler whose time moves only by [advance]. */
+class ManualScheduler : Scheduler {
+    private class Pending(
+        val at: Long,
+        val order: Long,
+        val action: () -> Unit,
+    )
+
+    private val pending = ArrayList<Pending>()
+    private var time = 0L
+    private var count = 0L
+
+    override fun now(): Long = time
+
+    override fun after(
+        delayMs: Long,
+        action: () -> Unit,
+    ): Timer {
+        val item = Pending(time + delayMs, count++, action)
+        pending.add(item)
+        return Timer { pending.remove(item) }
+    }
+
+    fun advance(ms: Long) {
+        val end = time + ms
+        while (true) {
+            val next = pending.filter { it.at <= end }.minWithOrNull(compareBy({ it.at }, { it.order })) ?: break
+            pending.remove(next)
+            time = maxOf(time, next.at)
+            next.action()
+        }
+        time = end
+    }
+}
--- /dev/null
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/admission/WorkspaceShareSpec.kt
@@ -0,0 +1,82 @@
+/*
+ * Guards against workspaces that exceed their rate over all instances together, and against refusals below it.
+ */
+package io.skylarkstile.gateway.admission
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.list
+import io.kotest.property.checkAll
+import io.skylarkstile.gateway.model.TokenRate
+import kotlin.random.Random
+
+private val tolerance = QuotaTolerance(overage = 0.1, slack = 110_000.0, windowMs = 8_000)
+private val rate = TokenRate(perSecond = 100_000.0, burst = 100_000.0, plainTokens = 200)
+
+/** Shares of one workspace on several instances that tell each other their demand every 250 ms. */
+private class Shares(
+    instances: Int,
+) {
+    val shares = List(instances) { WorkspaceShare(rate, 0, instances, tolerance) }
+
+    fun split(
+        now: Long,
+        reachable: (Int, Int) -> Boolean = { _, _ -> true },
+        last: Array<DoubleArray>,
+    ) {
+        shares.indices.forEach { i -> shares.indices.forEach { j -> if (reachable(i, j)) last[i][j] = shares[j].demand(now) } }
+        shares.forEachIndexed { i, share -> share.split(now, last[i].filterIndexed { j, _ -> j != i }) }
+    }
+}
+
+class WorkspaceShareSpec :
+    FunSpec({
+        test("several times the rate on uneven instances stays within rate and burst and what is tolerated") {
+            checkAll(40, Arb.list(Arb.int(0..10), 3..6), Arb.int()) { weights, seed ->
+                val random = Random(seed)
+                val fleet = Shares(weights.size)
+                val last = Array(weights.size) { DoubleArray(weights.size) }
+                val admitted = ArrayList<Pair<Long, Int>>()
+                val cut = random.nextInt(weights.size)
+                for (now in 0L..30_000L step 10) {
+                    if (now % 250 == 0L) fleet.split(now, { i, j -> now < 12_000 || (i != cut && j != cut) }, last)
+                    val at = weights.indices.filter { random.nextInt(11) < weights[it] + 1 }
+                    at.forEach { i ->
+                        val cost = 200 + random.nextInt(6_000)
+                        if (fleet.shares[i].admit(now, cost)) admitted.add(now to cost)
+                    }
+                }
+                val most =
+                    (0L..22_000L step 500).maxOf { from ->
+                        admitted.filter { it.first in from until from + 8_000 }.sumOf { it.second }
+                    }
+                most.toDouble() shouldBeLessThanOrEqualTo (8 * 100_000 + 100_000) * 1.1 + 110_000
+            }
+        }
+
+        test("demand below the rate is admitted whole, large calls on few instances included") {
+            val fleet = Shares(6)
+            val last = Array(6) { DoubleArray(6) }
+            val random = Random(7)
+            var refused = 0
+            for (now in 0L..30_000L step 10) {
+                if (now % 250 == 0L) fleet.split(now, last = last)
+                val cost = if (random.nextInt(40) == 0) 9_000 else 350
+                if (!fleet.shares[random.nextInt(6)].admit(now, cost)) refused++
+            }
+            refused shouldBe 0
+        }
+
+        test("a lowered rate holds at once and a call that did not run is given back") {
+            val share = WorkspaceShare(rate, 0, 1, tolerance)
+            share.change(0, rate.copy(perSecond = 1_000.0, burst = 1_000.0))
+            var admitted = 0
+            while (share.admit(0, 1_000)) admitted += 1_000
+            share.refund(0, 1_000)
+            share.admit(0, 1_000) shouldBe true
+            (share.waitMs(0, 1_000) > 0) shouldBe true
+        }
+    })
--- /dev/null
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/membership/OrderLeaseSpec.kt
@@ -0,0 +1,138 @@
+/*
+ * Guards against two instances that order one target within the least time between holders, and against fencing tokens that repeat or fall,
+ * under generated sequences of joins, removals, cuts from the store, suspensions and restarts.
+ */
+package io.skylarkstile.gateway.membership
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.comparables.shouldBeGreaterThan
+import io.kotest.matchers.comparables.shouldBeGreaterThanOrEqualTo
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.int
+import io.kotest.property.checkAll
+import java.net.InetSocketAddress
+import kotlin.random.Random
+
+private const val LEASE_MS = 3_000L
+private val targets = listOf("t-1", "t-2", "t-3", "t-4")
+
+private fun record(
+    name: String,
+    settledOn: Long = 0,
+) = InstanceRecord(name, "dc", InetSocketAddress("127.0.0.1", 1), InetSocketAddress("127.0.0.1", 2), 1, settledOn)
+
+private fun setOf(names: Collection<String>) = InstanceSet(names.associateWith { record(it) })
+
+/** One instance with its own steady clock, which stands still while it is suspended. */
+private class Node(
+    val name: String,
+) {
+    var lease = OrderLease(name, LEASE_MS)
+    var seen = -1L
+    var settledOn = 0L
+    var suspendedMs = 0L
+    var isSuspended = false
+    var mustForget = false
+    var isCut = false
+
+    fun now(time: Long) = time - suspendedMs
+
+    /** Reads the set from the store, as the watch of a running process does, and records a settled one. */
+    fun look(
+        set: InstanceSet,
+        revision: Long,
+        now: Long,
+    ) {
+        if (seen != revision) {
+            val resumes = seen < 0 && name in set.members && settledOn == set.fingerprint
+            lease.apply(set, targets, revision, resumes, now)
+            seen = revision
+        }
+        lease.confirm(now)
+        if (name !in set.members) settledOn = 0
+        if (lease.isSettled(now)) settledOn = set.fingerprint
+    }
+}
+
+private class Order(
+    val time: Long,
+    val node: String,
+    val token: Long,
+)
+
+class OrderLeaseSpec :
+    FunSpec({
+        test("one holder at a time, and tokens rise, whatever happens to the instances") {
+            checkAll(150, Arb.int()) { seed ->
+                val random = Random(seed)
+                val nodes = List(3) { Node("n$it") }
+                val members = nodes.mapTo(LinkedHashSet()) { it.name }
+                var revision = 1L
+                val last = HashMap<String, Order>()
+                for (time in 0L..40_000L step 100) {
+                    if (random.nextInt(25) == 0) {
+                        val node = nodes.random(random)
+                        when (random.nextInt(5)) {
+                            0 -> if (members.size > 1 && members.remove(node.name)) revision++
+                            1 -> if (members.add(node.name)) revision++
+                            2 -> node.isCut = !node.isCut
+                            3 -> node.isSuspended = !node.isSuspended
+                            else -> {
+                                node.lease = OrderLease(node.name, LEASE_MS)
+                                node.seen = -1
+                            }
+                        }
+                    }
+                    nodes.forEach { node ->
+                        if (node.isSuspended) {
+                            node.suspendedMs += 100
+                            node.mustForget = true
+                            return@forEach
+                        }
+                        val now = node.now(time)
+                        // The detector of suspensions runs before the first order after one.
+                        if (node.mustForget) node.lease.forget(now)
+                        node.mustForget = false
+                        if (!node.isCut && random.nextInt(5) == 0) node.look(setOf(members), revision, now)
+                        targets.forEach { target ->
+                            val token = node.lease.tokenOrNull(target, now) ?: return@forEach
+                            val before = last[target]
+                            if (before != null && before.node != node.name) {
+                                time - before.time shouldBeGreaterThanOrEqualTo LEASE_MS
+                                token shouldBeGreaterThan before.token
+                            } else if (before != null) {
+                                token shouldBeGreaterThanOrEqualTo before.token
+                            }
+                            last[target] = Order(time, node.name, token)
+                        }
+                    }
+                }
+            }
+        }
+
+        test("a new holder waits for the confirmations of the old one to run out, and a restarted one resumes at once") {
+            val lease = OrderLease("a", LEASE_MS)
+            lease.apply(setOf(listOf("a")), targets, 5, resumes = false, now = 1_000)
+            lease.confirm(1_000)
+            lease.tokenOrNull("t-1", 1_000) shouldBe null
+            lease.confirm(8_000)
+            lease.tokenOrNull("t-1", 8_400) shouldBe 5
+            lease.tokenOrNull("t-1", 12_001) shouldBe null
+            val resumed = OrderLease("a", LEASE_MS)
+            resumed.apply(setOf(listOf("a")), targets, 9, resumes = true, now = 1_000)
+            resumed.confirm(1_000)
+            resumed.tokenOrNull("t-1", 1_000) shouldBe 9
+        }
+
+        test("a suspension ends the right to give orders until the set is confirmed again and the wait is over") {
+            val lease = OrderLease("a", LEASE_MS)
+            lease.apply(setOf(listOf("a")), targets, 5, resumes = true, now = 1_000)
+            lease.confirm(1_000)
+            lease.tokenOrNull("t-1", 1_100) shouldNotBe null
+            lease.forget(1_200)
+            lease.confirm(1_300)
+            lease.tokenOrNull("t-1", 1_300) shouldBe null
+        }
+    })
--- /dev/null
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/model/ConfigurationSpec.kt
@@ -0,0 +1,61 @@
+/*
+ * Guards against calls that run on a route, a service or for a workspace that the configuration doesn't allow.
+ */
+package io.skylarkstile.gateway.model
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import io.skylarkstile.gateway.admission.Admission
+import io.skylarkstile.gateway.admission.CallAdmission
+import io.skylarkstile.gateway.admission.Freshness
+import io.skylarkstile.gateway.admission.QuotaTolerance
+import io.skylarkstile.gateway.admission.WorkspaceShares
+import io.skylarkstile.gateway.configuration
+import io.skylarkstile.gateway.route
+
+private fun call(
+    uri: String,
+    key: String? = null,
+    host: String = "host.example",
+) = CallHead("id", HttpMethod.GET, uri, host, DefaultHttpHeaders(), key, 1_000, null, null, 0, 0, false, null)
+
+class ConfigurationSpec :
+    FunSpec({
+        val configuration =
+            configuration(
+                listOf(route("/a/"), route("/a/b/"), route("/open/", isPublic = true)),
+                listOf(Workspace("w", listOf("key-1", "key-2"), null, null)),
+            )
+
+        test("the longest prefix of the path wins, on whole parts of it and on its host only") {
+            configuration.routeOrNull("host.example", "/a/b/c")?.pathPrefix shouldBe "/a/b/"
+            configuration.routeOrNull("host.example", "/a/bc/d")?.pathPrefix shouldBe "/a/"
+            configuration.routeOrNull("host.example", "/a") shouldBe null
+            configuration.routeOrNull("other.example", "/a/b/") shouldBe null
+            configuration.routeOrNull("host.example", "") shouldBe null
+        }
+
+        test("a call needs a key that is known and known to be current, except on a public route") {
+            val freshness = Freshness(4_000)
+            val admission = CallAdmission(WorkspaceShares(QuotaTolerance(0.0, 0.0, 8_000)), freshness)
+
+            fun statusOf(
+                call: CallHead,
+                now: Long,
+            ) = when (val outcome = admission.admit(now, call, configuration)) {
+                is Admission.Admitted -> outcome.workspace?.name ?: "public"
+                is Admission.Refused -> "${outcome.status}"
+            }
+            statusOf(call("/a/", "key-1"), 0) shouldBe "503"
+            freshness.confirm(0)
+            statusOf(call("/a/", "key-1"), 4_000) shouldBe "w"
+            statusOf(call("/a/", "key-1"), 4_001) shouldBe "503"
+            statusOf(call("/a/", "key-3"), 100) shouldBe "401"
+            statusOf(call("/a/"), 100) shouldBe "401"
+            statusOf(call("/none/", "key-1"), 100) shouldBe "404"
+            statusOf(call("/open/x"), 9_000) shouldBe "public"
+            admission.admit(0, call("/a/"), null) shouldBe Admission.Refused(503, "no-configuration", 500)
+        }
+    })
--- /dev/null
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/store/KindWatchSpec.kt
@@ -0,0 +1,130 @@
+/*
+ * Guards against a view of the store that silently stays old: lost calls, a history that is gone, and outages during which entries lapse.
+ */
+package io.skylarkstile.gateway.store
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.skylarkstile.gateway.ManualScheduler
+
+/** A store whose answers are given by the test. */
+private class ScriptedStore : SharedStore {
+    val calls = ArrayList<String>()
+    var answer: ((StoreResult<StorePage>) -> Unit)? = null
+
+    override fun list(
+        kind: StoreKind,
+        done: (StoreResult<StorePage>) -> Unit,
+    ) {
+        calls.add("list")
+        answer = done
+    }
+
+    override fun watch(
+        kind: StoreKind,
+        revision: Long,
+        waitMs: Long,
+        done: (StoreResult<StorePage>) -> Unit,
+    ) {
+        calls.add("watch $revision")
+        answer = done
+    }
+
+    override fun create(
+        kind: StoreKind,
+        name: String,
+        spec: String,
+        done: (StoreResult<StoredObject>) -> Unit,
+    ) = error("not used")
+
+    override fun replace(
+        kind: StoreKind,
+        name: String,
+        spec: String,
+        revision: Long?,
+        done: (StoreResult<StoredObject>) -> Unit,
+    ) = error("not used")
+
+    override fun remove(
+        kind: StoreKind,
+        name: String,
+        revision: Long,
+        done: (StoreResult<Unit>) -> Unit,
+    ) = error("not used")
+
+    fun give(result: StoreResult<StorePage>) = checkNotNull(answer).invoke(result)
+}
+
+private class Recorder : KindListener {
+    val seen = ArrayList<String>()
+    var confirmedAt = -1L
+
+    override fun listed(
+        page: StorePage,
+        now: Long,
+        afterOutage: Boolean,
+    ) {
+        seen.add("listed ${page.objects.map { it.name }} $afterOutage")
+    }
+
+    override fun changed(
+        page: StorePage,
+        now: Long,
+        afterOutage: Boolean,
+    ) {
+        seen.add("changed ${page.objects.map { it.name }} $afterOutage")
+    }
+
+    override fun confirmed(at: Long) {
+        confirmedAt = at
+    }
+}
+
+private fun page(
+    revision: Long,
+    vararg names: String,
+) = StoreResult.Success(StorePage(names.map { StoredObject(it, revision, "{}") }, revision))
+
+class KindWatchSpec :
+    FunSpec({
+        val store = ScriptedStore()
+        val scheduler = ManualScheduler()
+        val recorder = Recorder()
+        val watch = KindWatch(StoreKind.Targets, store, scheduler, recorder, waitMs = 2_000, pauseMs = 500)
+
+        test("lists, watches from the list's revision, and knows how long its view is certain") {
+            watch.start()
+            scheduler.advance(30)
+            store.give(page(7, "a"))
+            recorder.confirmedAt shouldBe 0
+            store.calls.last() shouldBe "watch 7"
+            scheduler.advance(2_010)
+            store.give(page(7))
+            // The empty answer can't have been given before the whole wait was over.
+            recorder.confirmedAt shouldBe 2_030
+        }
+
+        test("reads changes together after a pause and confirms only what was certain when it asked") {
+            scheduler.advance(100)
+            store.give(page(9, "b"))
+            recorder.seen.last() shouldBe "changed [b] false"
+            recorder.confirmedAt shouldBe 2_040
+            store.calls.last() shouldBe "watch 7"
+            scheduler.advance(500)
+            store.calls.last() shouldBe "watch 9"
+        }
+
+        test("tries again after failures, marks what follows an outage, and lists anew when the history is gone") {
+            store.give(StoreResult.Failed("down", false))
+            scheduler.advance(100)
+            store.give(StoreResult.Failed("down", false))
+            scheduler.advance(200)
+            store.give(StoreResult.HistoryGone)
+            store.calls.last() shouldBe "list"
+            store.give(page(20, "b"))
+            recorder.seen.last() shouldBe "listed [b] true"
+            scheduler.advance(2_600)
+            store.give(page(21, "c"))
+            recorder.seen.last() shouldBe "changed [c] false"
+        }
+    })
