--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -78,7 +78,7 @@
     val orders: TargetOrders,
 )
 
-/** Runs one instance on [loop]; all functions but [stop] are called there. */
+/** Runs one instance on [loop]; all functions but [start] are called there. */
 class Gateway(
     private val settings: GatewaySettings,
     private val loop: EventLoop,
@@ -135,11 +135,15 @@
             ?.adapterCapacity ?: 0
     }
 
-    /** Opens all sockets and begins to follow the store. */
+    /** Opens all sockets and begins to follow the store. Called on another thread than the event loop's, since it waits for the sockets. */
     fun start() {
         exchange.holder = holder
         socket.bind(loop, settings.peers)
         listening = listen()
+        loop.execute(::begin)
+    }
+
+    private fun begin() {
         follow(StoreKind.Configuration, ConfigurationListener(), 0)
         follow(StoreKind.Targets, TargetListener(), (settings.bounds.drainMs * TARGET_PAUSE_SHARE).toLong())
         follow(StoreKind.AdapterVersions, VersionListener(), 0)
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -22,6 +22,7 @@
 import io.skylarkstile.gateway.model.Dispatch
 import io.skylarkstile.gateway.model.Repeatability
 import io.skylarkstile.gateway.target.CallWeight
+import io.skylarkstile.gateway.target.FULL_LOAD
 import io.skylarkstile.gateway.target.TargetState
 import kotlin.math.max
 import kotlin.math.min
@@ -232,7 +233,7 @@
         if (serving.scheduler.now() + patience * 2 > deadlineAt) return
         silenceTimer =
             serving.scheduler.after(patience) {
-                if (attempt === started && !started.isOver && started.head == null) {
+                if (attempt === started && !started.isOver && started.head == null && mayRepeat()) {
                     started.target.health.failed(serving.scheduler.now())
                     failed(started, "silent for $patience ms")
                 }
@@ -394,8 +395,13 @@
         if (isBegun) breakOff(reason) else refuse(BAD_GATEWAY, "target-failed", null)
     }
 
-    private fun mayRepeat(): Boolean =
-        runs < route.maxAttempts && serving.allowance(service).left(serving.scheduler.now(), serving.instances) >= 1
+    /** Returns whether the call may go to one more target, and there is one. */
+    private fun mayRepeat(): Boolean {
+        val now = serving.scheduler.now()
+        if (runs >= route.maxAttempts || serving.allowance(service).left(now, serving.instances) < 1) return false
+        val others = serving.targets.ready(service).filter { it.id !in tried && it !== attempt?.target }
+        return others.any { it.load < FULL_LOAD && !it.health.isPaused(now) }
+    }
 
     private fun retry(running: Attempt) {
         tried.add(running.target.id)
