--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterBook.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterBook.kt
@@ -24,24 +24,6 @@
 /** How long a target is assumed to keep an adapter at hand after it was unloaded, counted in adapters unloaded since. */
 private const val KEPT_AT_HAND = 64
 
-/** One order to a target. */
-sealed interface AdapterOrder {
-    val adapter: AdapterVersion
-
-    data class Load(
-        override val adapter: AdapterVersion,
-    ) : AdapterOrder
-
-    data class Unload(
-        override val adapter: AdapterVersion,
-    ) : AdapterOrder
-
-    /** Asks whether a load has ended, by repeating it: an order that holds already changes nothing. */
-    data class Check(
-        override val adapter: AdapterVersion,
-    ) : AdapterOrder
-}
-
 /** What a target answered to an order. */
 enum class OrderOutcome {
     /** It is being carried out. */
@@ -63,6 +45,9 @@
 /** What a target reports of itself. */
 data class TargetReport(
     val orders: Long,
+    val models: Set<String>,
+    /** True while a base model is being loaded. */
+    val isBusy: Boolean,
     val present: Set<AdapterVersion>,
     val loading: Set<AdapterVersion>,
 )
@@ -89,6 +74,12 @@
     private val places = LinkedHashMap<AdapterVersion, Place>()
     private val wishes = LinkedHashMap<AdapterVersion, Wish>()
     private val atHand = LinkedHashSet<AdapterVersion>()
+    private var modelCheckAt: Long? = null
+    private var modelChecks = 0
+
+    /** Base models that the target has. */
+    var models: Set<String> = emptySet()
+        private set
 
     /** Number of orders that the target has accepted, or null when a report is needed. */
     var orders: Long? = null
@@ -98,7 +89,8 @@
     val needsReport: Boolean get() = orders == null
 
     /** Returns when the next order is due without a new wish, or null. */
-    val nextDueAt: Long? get() = places.values.mapNotNull { it.readyAt ?: it.leaveAt }.minOrNull()
+    val nextDueAt: Long? get() = modelCheckAt ?: places.values.mapNotNull { it.readyAt ?: it.leaveAt }.minOrNull()
+    val isModelUnderWay: Boolean get() = modelCheckAt != null
     val hasWishes: Boolean get() = wishes.isNotEmpty()
 
     /** Returns all adapters with their phases. */
@@ -136,6 +128,9 @@
         now: Long,
     ) {
         orders = report.orders
+        models = report.models
+        modelCheckAt = if (report.isBusy) now + MODEL_CHECK_MS else null
+        modelChecks = 0
         places.keys.retainAll(report.present + report.loading)
         report.present.forEach { places.getOrPut(it) { Place(null, now) }.readyAt = null }
         report.loading.forEach { places.getOrPut(it) { Place(now + COLD_LOAD_MS, now) } }
@@ -148,15 +143,17 @@
 
     /**
      * Returns the next order to send, or null. [inUse] tells whether any instance has calls on an adapter; [isCurrent] whether calls still
-     * ask for that version.
+     * ask for that version. [model] is the base model that the target should have, or null when any that it has will do.
      */
     fun nextOrNull(
         now: Long,
+        model: String?,
         inUse: (AdapterVersion) -> Boolean,
         isCurrent: (AdapterVersion) -> Boolean,
-    ): AdapterOrder? {
+    ): TargetOrder? {
         if (orders == null) return null
         wishes.values.removeIf { it.until < now }
+        if (model != null && model !in models) return TargetOrder.LoadModel(model).takeIf { now >= (modelCheckAt ?: now) }
         dueCheckOrNull(now, isCurrent)?.let { return it }
         if (orders == null) return null
         dueUnloadOrNull(now, inUse)?.let { return it }
@@ -217,6 +214,43 @@
 
     /** Applies the outcome of [order]. */
     fun answered(
+        order: TargetOrder,
+        outcome: OrderOutcome,
+        now: Long,
+    ) = when (order) {
+        is TargetOrder.LoadModel -> modelAnswered(order, outcome, now)
+        is AdapterOrder -> adapterAnswered(order, outcome, now)
+    }
+
+    private fun modelAnswered(
+        order: TargetOrder.LoadModel,
+        outcome: OrderOutcome,
+        now: Long,
+    ) {
+        val isUnderWay = modelCheckAt != null
+        when {
+            outcome == OrderOutcome.Done -> {
+                models = models + order.model
+                modelCheckAt = null
+            }
+
+            outcome == OrderOutcome.Accepted && !isUnderWay -> {
+                orders = orders?.plus(1)
+                modelChecks = 0
+                modelCheckAt = now + MODEL_CHECK_MS
+            }
+
+            outcome in setOf(OrderOutcome.Accepted, OrderOutcome.Conflict) && isUnderWay && modelChecks++ < MOST_MODEL_CHECKS -> {
+                modelCheckAt = now + MODEL_CHECK_MS
+            }
+
+            else -> {
+                doubt()
+            }
+        }
+    }
+
+    private fun adapterAnswered(
         order: AdapterOrder,
         outcome: OrderOutcome,
         now: Long,
@@ -309,6 +343,10 @@
         const val CHECK_AGAIN_MS = 40L
         const val MOST_CHECKS = 5
 
+        /** A base model takes seconds to load; its end is asked for this often, in milliseconds, and this many times. */
+        const val MODEL_CHECK_MS = 250L
+        const val MOST_MODEL_CHECKS = 60
+
         /** Places that are kept free. */
         const val SPARE_PLACES = 1
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterHolder.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterHolder.kt
@@ -18,6 +18,12 @@
 /** A report shows the state of some hundred milliseconds before, so it is asked for this long after an order with unknown outcome. */
 private const val REPORT_DELAY_MS = 350L
 
+/** The rate of the weight store is kept in windows of this length, in milliseconds. */
+const val MODEL_WINDOW_MS = 5_000L
+
+/** A target whose book waits for reports this long isn't offered for loads, in milliseconds. */
+private const val TROUBLED_MS = 900L
+
 /** Own targets count as orderable for this long after the lease was seen valid, in milliseconds. */
 private const val ORDERABLE_MS = 1_500L
 
@@ -32,6 +38,15 @@
     /** Returns the version of [name] that calls run on. */
     fun current(name: AdapterName): AdapterVersion
 
+    /** Returns the base model that [target], which has [held], should load, or null when it needs none. */
+    fun missingModelOrNull(
+        target: TargetState,
+        held: Set<String>,
+    ): String?
+
+    /** Returns how many loads of base models this instance may begin in [MODEL_WINDOW_MS] for targets of [service]. */
+    fun modelLoads(service: String): Int
+
     /** Returns the places of a target of [service], or 0 where it has no engine. */
     fun adapterCapacity(service: String): Int
 }
@@ -54,13 +69,22 @@
         val book = AdapterBook(capacity, popularity)
         var isBusy = false
         var reportAt = 0L
+        var doubtfulSince: Long? = null
         var timer: Timer? = null
+
+        /** Returns whether loads can be expected to begin at once. */
+        fun isOrderable(now: Long): Boolean {
+            val isTroubled =
+                (doubtfulSince?.let { now - it > TROUBLED_MS } ?: false) || fleet.missingModelOrNull(target, book.models) != null
+            return !isTroubled && lease.tokenOrNull(target.id, now) != null
+        }
     }
 
     private val held = HashMap<String, Held>()
+    private val modelLoads = ArrayDeque<Long>()
 
     /** Returns the ids of the targets that can be ordered now. */
-    fun orderable(now: Long): List<TargetState> = held.values.map { it.target }.filter { lease.tokenOrNull(it.id, now) != null }
+    fun orderable(now: Long): List<TargetState> = held.values.filter { it.isOrderable(now) }.map { it.target }
 
     /** Follows changes of the targets and of the lease, and continues what waits. Called regularly. */
     fun refresh() {
@@ -69,7 +93,7 @@
         held.values.filter { known -> wanted.none { it === known.target } }.forEach { drop(it) }
         wanted.forEach { target ->
             val known = held.getOrPut(target.id) { Held(target, fleet.adapterCapacity(target.entry.service)) }
-            if (lease.tokenOrNull(target.id, now) != null) target.orderableUntil = now + ORDERABLE_MS
+            if (known.isOrderable(now)) target.orderableUntil = now + ORDERABLE_MS
             pump(known)
         }
     }
@@ -96,23 +120,46 @@
         val token = lease.tokenOrNull(known.target.id, now) ?: return
         if (!known.target.entry.isReady) return
         if (known.book.needsReport) return report(known, now)
-        val next = known.book.nextOrNull(now, { fleet.isInUse(known.target, it) }, { fleet.current(it.name) == it })
+        val next = nextOrNull(known, now)
+        // Publishing lets waiting calls look again, which may come back here, so the target counts as busy first.
+        known.isBusy = next != null
         if (known.target.adapters != known.book.phases()) publish(known)
         if (next == null) return sleep(known, now)
-        known.isBusy = true
         val stamp = OrderStamp(name, token, checkNotNull(known.book.orders))
         orders.order(known.target.entry, next, stamp) { outcome ->
-            known.isBusy = false
             if (outcome != OrderOutcome.Accepted && outcome != OrderOutcome.Done) {
                 log.info { "order target=${known.target.id} order=$next expected=${stamp.expected} token=$token outcome=$outcome" }
             }
             known.book.answered(next, outcome, scheduler.now())
-            if (known.book.needsReport) known.reportAt = scheduler.now() + REPORT_DELAY_MS
+            if (known.book.needsReport) doubted(known) else known.doubtfulSince = null
             publish(known)
+            known.isBusy = false
             pump(known)
         }
     }
 
+    private fun nextOrNull(
+        known: Held,
+        now: Long,
+    ): TargetOrder? {
+        val target = known.target
+        val model = fleet.missingModelOrNull(target, known.book.models)
+        val next = known.book.nextOrNull(now, model, { fleet.isInUse(target, it) }, { fleet.current(it.name) == it })
+        if (next !is TargetOrder.LoadModel || known.book.isModelUnderWay) return next
+        // Beyond the rate of the weight store a load of a base model waits.
+        while (modelLoads.isNotEmpty() && modelLoads.first() <= now - MODEL_WINDOW_MS) modelLoads.removeFirst()
+        if (modelLoads.size >= fleet.modelLoads(target.entry.service)) return null
+        modelLoads.addLast(now)
+        log.info { "target ${target.id} started without a base model, loading ${next.model}" }
+        return next
+    }
+
+    private fun doubted(known: Held) {
+        val now = scheduler.now()
+        known.reportAt = now + REPORT_DELAY_MS
+        if (known.doubtfulSince == null) known.doubtfulSince = now
+    }
+
     private fun report(
         known: Held,
         now: Long,
@@ -120,19 +167,20 @@
         if (now < known.reportAt) return wake(known, known.reportAt - now)
         known.isBusy = true
         orders.report(known.target.entry) { report ->
-            known.isBusy = false
             if (report == null) {
                 known.reportAt = scheduler.now() + REPORT_DELAY_MS
             } else {
                 known.book.report(report, scheduler.now())
                 publish(known)
             }
+            known.isBusy = false
             pump(known)
         }
     }
 
     private fun publish(known: Held) {
         known.target.adapters = known.book.phases()
+        known.target.models = known.book.models
         onChange(known.target)
     }
 
@@ -144,7 +192,7 @@
         when {
             known.book.needsReport -> wake(known, REPORT_DELAY_MS)
             dueAt != null -> wake(known, (dueAt - now).coerceIn(1, IDLE_LOOK_MS))
-            known.book.hasWishes -> wake(known, IDLE_LOOK_MS)
+            known.book.hasWishes || fleet.missingModelOrNull(known.target, known.book.models) != null -> wake(known, IDLE_LOOK_MS)
         }
     }
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/TargetOrders.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/TargetOrders.kt
@@ -16,7 +16,7 @@
 interface TargetOrders {
     fun order(
         target: TargetEntry,
-        order: AdapterOrder,
+        order: TargetOrder,
         stamp: OrderStamp,
         done: (OrderOutcome) -> Unit,
     )
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -18,6 +18,7 @@
 import io.skylarkstile.gateway.adapter.AdapterHolder
 import io.skylarkstile.gateway.adapter.AdapterPlacement
 import io.skylarkstile.gateway.adapter.FleetView
+import io.skylarkstile.gateway.adapter.MODEL_WINDOW_MS
 import io.skylarkstile.gateway.adapter.TargetOrders
 import io.skylarkstile.gateway.admission.CallAdmission
 import io.skylarkstile.gateway.admission.Freshness
@@ -128,6 +129,25 @@
 
         override fun current(name: AdapterName): AdapterVersion = serving.current(name)
 
+        override fun missingModelOrNull(
+            target: TargetState,
+            held: Set<String>,
+        ): String? {
+            val models = engineOf(target.entry.service)?.models?.map { it.name }.orEmpty()
+            if (models.isEmpty() || models.any { it in held }) return null
+            return models.minBy { model -> targets.ready(target.entry.service).count { model in it.models } }
+        }
+
+        override fun modelLoads(service: String): Int {
+            val perSecond = engineOf(service)?.loadsPerSecond ?: return 0
+            return (perSecond * MODEL_WINDOW_MS / MS_PER_S / serving.instances).toInt().coerceAtLeast(1)
+        }
+
+        private fun engineOf(service: String) = serving.configuration
+            ?.services
+            ?.get(service)
+            ?.engine
+
         override fun adapterCapacity(service: String): Int = serving.configuration
             ?.services
             ?.get(service)
@@ -169,6 +189,14 @@
         log.info { "leaving, ${serving.runningCalls} calls run" }
     }
 
+    /** Refuses calls from now on, since they could not be finished. */
+    fun refuseCalls() {
+        serving.refusesCalls = true
+    }
+
+    /** Ends the calls that still run. */
+    fun stopCalls() = serving.stopCalls()
+
     /** Closes connections without a call; returns true once no call runs. */
     fun closeIdle(): Boolean {
         callers.toList().forEach { it.closeIfIdle() }
@@ -363,5 +391,6 @@
         /** Popularity moves within seconds where demand shifts, and most adapters are asked for rarely. */
         const val POPULARITY_HALF_LIFE_MS = 15_000.0
         const val FIRST_HEADER_BYTES = 16_384
+        const val MS_PER_S = 1_000.0
     }
 }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -44,9 +44,15 @@
 /** Calls that wait for an adapter repeat their wish, since a message may be lost, in milliseconds. */
 private const val REPEAT_WISH_MS = 100L
 
+/** A load takes a quarter of a second and a few times that under load; after this time another target is tried, in milliseconds. */
+private const val LONGEST_WAIT_MS = 1_000L
+
 /** Callers return after this time when all targets are full or gone, in milliseconds. */
 private const val FULL_RETRY_MS = 300L
 
+/** Callers go to another instance after this time when this one leaves, in milliseconds. */
+internal const val MOVED_RETRY_MS = 20L
+
 /** A repeatable call tries another target after this multiple of its target latency without an answer. */
 private const val SILENCE_LATENCIES = 2.0
 
@@ -83,6 +89,9 @@
     private var silenceTimer: Timer? = null
     private val deadlineTimer = serving.scheduler.after(max(0, deadlineAt - ANSWER_MARGIN_MS - arrivedAt)) { expire() }
 
+    private var waitingFor: String? = null
+    private var waitingSince = 0L
+
     /** Id of the target on which this call waits for an adapter. */
     var awaitsTarget: String? = null
         private set
@@ -102,7 +111,7 @@
 
     /** Begins the call. */
     fun start() {
-        serving.runningCalls++
+        serving.begin(this)
         serving.allowance(service).request(serving.scheduler.now())
         call.adapter?.let { serving.demand.asked(serving.current(it)) }
         choose()
@@ -120,6 +129,11 @@
         endAttempt()
     }
 
+    /** Ends the call because this instance stops: with a refusal where it has not run. */
+    fun stop() {
+        if (!isEnded) giveUp("instance-stops", MOVED_RETRY_MS)
+    }
+
     /** Continues reading the answer once the caller has taken what was passed on. */
     fun callerWritable(isWritable: Boolean) {
         if (mode == Mode.PassOn) attempt?.connection?.setReading(isWritable)
@@ -130,7 +144,10 @@
         val now = serving.scheduler.now()
         if (deadlineAt - now < LEAST_TIME_MS) return expire()
         val limit = serving.connectionLimit(service)
-        val candidates = serving.targets.ready(service).filter { serving.pool.hasRoom(it.entry.address, limit) }
+        val candidates =
+            serving.targets.ready(service).filter {
+                serving.pool.hasRoom(it.entry.address, limit) && (call.model == null || call.model in it.models)
+            }
         val adapter = call.adapter?.let(serving::current)
         if (adapter == null) {
             val target = serving.choice.chooseOrNull(now, candidates, tried) ?: return giveUp("no-target-free", FULL_RETRY_MS)
@@ -156,6 +173,16 @@
         target: TargetState,
         adapter: AdapterVersion,
     ) {
+        val now = serving.scheduler.now()
+        if (waitingFor != target.id) {
+            waitingFor = target.id
+            waitingSince = now
+        }
+        if (now - waitingSince > LONGEST_WAIT_MS) {
+            log.info { "call ${call.id} waited ${now - waitingSince} ms for $adapter at ${target.id} in vain" }
+            tried.add(target.id)
+            return choose()
+        }
         awaitsTarget = target.id
         serving.await(this)
         waitTimer = serving.scheduler.after(REPEAT_WISH_MS) { lookAgain() }
@@ -466,7 +493,7 @@
         deadlineTimer.cancel()
         silenceTimer?.cancel()
         body.release()
-        serving.runningCalls--
+        serving.end(this)
         log.info {
             "call ${call.id} route=${route.name} workspace=${admitted.workspace?.name} adapter=${call.adapter} " +
                 "target=${attempt?.target?.id} arrivals=$arrivals sentMs=${sentAt?.let { it - arrivedAt }} " +
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
@@ -141,6 +141,10 @@
             return reject(BAD_REQUEST, "improper request")
         }
         isBusy = true
+        if (serving.refusesCalls) {
+            content.release()
+            return Answering(call).refuse(SERVICE_UNAVAILABLE, "leaving", MOVED_RETRY_MS)
+        }
         when (val admission = serving.admission.admit(arrivedAt, call, serving.configuration)) {
             is Admission.Refused -> {
                 content.release()
@@ -293,6 +297,7 @@
         const val REQUEST_TIMEOUT = 408
         const val TOO_LARGE = 413
         const val HEADERS_TOO_LARGE = 431
+        const val SERVICE_UNAVAILABLE = 503
 
         /** A whole request may take this many times as long as its head. */
         const val BODY_TIMEOUTS = 3
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/Serving.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/Serving.kt
@@ -48,7 +48,11 @@
     /** Instances that share the fleet-wide bounds, this one included. */
     var instances = 1
     var isLeaving = false
-    var runningCalls = 0
+
+    /** Set late in a stop, when a new call could no longer be finished. */
+    var refusesCalls = false
+    private val running = LinkedHashSet<CallRun>()
+    val runningCalls: Int get() = running.size
 
     fun allowance(service: String): RetryAllowance =
         allowances.getOrPut(service) { RetryAllowance(bounds.retryRatio, bounds.retrySlack, bounds.retryWindowMs) }
@@ -62,6 +66,19 @@
         return (limit * CONNECTION_SHARE / instances).toInt().coerceAtLeast(2)
     }
 
+    fun begin(run: CallRun) {
+        running.add(run)
+    }
+
+    fun end(run: CallRun) {
+        running.remove(run)
+    }
+
+    /** Ends all calls because this instance stops. */
+    fun stopCalls() {
+        running.toList().forEach { it.stop() }
+    }
+
     fun await(run: CallRun) {
         waiting.add(run)
     }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetState.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetState.kt
@@ -34,6 +34,9 @@
 
     /** Calls of this instance on the target by adapter. */
     val adapterCalls = HashMap<AdapterVersion, Int>()
+
+    /** Base models that the target has. */
+    var models: Set<String> = entry.models.mapTo(HashSet()) { it.model }
     var adapters: Map<AdapterVersion, AdapterPhase> = emptyMap()
 
     /** Time until which the holder of its orders is known to load adapters on request. */
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/adapter/AdapterBookSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/adapter/AdapterBookSpec.kt
@@ -46,7 +46,7 @@
             carryOut(it.order, it.expected, now)
         }
         (present.size + loading.size) shouldBeLessThanOrEqualTo CAPACITY
-        history.addLast(now to TargetReport(sequence, present.toSet(), loading.keys.toSet()))
+        history.addLast(now to TargetReport(sequence, setOf("base"), false, present.toSet(), loading.keys.toSet()))
     }
 
     fun order(
@@ -86,7 +86,7 @@
     }
 }
 
-private fun AdapterBook.next(now: Long) = nextOrNull(now, inUse = { false }, isCurrent = { true })
+private fun AdapterBook.next(now: Long) = nextOrNull(now, null, inUse = { false }, isCurrent = { true })
 
 class AdapterBookSpec :
     FunSpec({
@@ -106,7 +106,7 @@
                         if (now >= reportAt) book.report(target.report(now), now)
                         continue
                     }
-                    val order = book.nextOrNull(now, inUse = { it in target.busy }, isCurrent = { true }) ?: continue
+                    val order = book.nextOrNull(now, null, inUse = { it in target.busy }, isCurrent = { true }) as AdapterOrder? ?: continue
                     val expected = book.orders
                     book.answered(order, target.order(order, expected, now, random), now)
                     if (book.needsReport) reportAt = now + 350
@@ -118,8 +118,8 @@
 
         test("an adapter that calls use doesn't leave, and one that is wanted again before its order is kept") {
             val book = AdapterBook(2, Popularity())
-            book.report(TargetReport(0, setOf(adapter("a"), adapter("b")), emptySet()), 0)
-            book.nextOrNull(10, inUse = { true }, isCurrent = { true }) shouldBe null
+            book.report(TargetReport(0, setOf("base"), false, setOf(adapter("a"), adapter("b")), emptySet()), 0)
+            book.nextOrNull(10, null, inUse = { true }, isCurrent = { true }) shouldBe null
             book.phases().size shouldBe 2
             book.next(20) shouldBe null
             book.phases().size shouldBe 1
@@ -130,26 +130,46 @@
 
         test("a place is freed before it is wanted") {
             val book = AdapterBook(2, Popularity())
-            book.report(TargetReport(0, setOf(adapter("a"), adapter("b")), emptySet()), 0)
+            book.report(TargetReport(0, setOf("base"), false, setOf(adapter("a"), adapter("b")), emptySet()), 0)
             book.next(0) shouldBe null
             book.next(100).shouldBeInstanceOf<AdapterOrder.Unload>()
         }
 
+        test("a target that started without its base model gets that first, once, and adapters only afterwards") {
+            val book = AdapterBook(2, Popularity())
+
+            fun next(now: Long) = book.nextOrNull(now, "base", inUse = { false }, isCurrent = { true })
+            book.report(TargetReport(0, emptySet(), false, emptySet(), emptySet()), 0)
+            book.wish(adapter("a"), 0)
+            val load = checkNotNull(next(0))
+            load shouldBe TargetOrder.LoadModel("base")
+            book.answered(load, OrderOutcome.Accepted, 0)
+            book.orders shouldBe 1
+            next(100) shouldBe null
+            next(250) shouldBe load
+            book.answered(load, OrderOutcome.Conflict, 250)
+            book.needsReport shouldBe false
+            book.answered(checkNotNull(next(500)), OrderOutcome.Done, 500)
+            book.wish(adapter("a"), 500)
+            next(500) shouldBe AdapterOrder.Load(adapter("a"))
+            book.orders shouldBe 1
+        }
+
         test("an adapter that a newer version replaces leaves first") {
             val book = AdapterBook(2, Popularity())
-            book.report(TargetReport(0, setOf(adapter("a"), adapter("b", 1)), emptySet()), 0)
-            book.nextOrNull(0, inUse = { false }, isCurrent = { it.name != adapter("b").name })
+            book.report(TargetReport(0, setOf("base"), false, setOf(adapter("a"), adapter("b", 1)), emptySet()), 0)
+            book.nextOrNull(0, null, inUse = { false }, isCurrent = { it.name != adapter("b").name })
             book.phases().keys shouldBe setOf(adapter("a"))
         }
 
         test("a load whose version is overtaken is not repeated, because the target would fetch the newer one") {
             val book = AdapterBook(3, Popularity())
-            book.report(TargetReport(0, emptySet(), emptySet()), 0)
+            book.report(TargetReport(0, setOf("base"), false, emptySet(), emptySet()), 0)
             book.wish(adapter("a"), 0)
             val load = book.next(0)
             load shouldNotBe null
             book.answered(checkNotNull(load), OrderOutcome.Accepted, 0)
-            book.nextOrNull(1_000, inUse = { false }, isCurrent = { false }) shouldBe null
+            book.nextOrNull(1_000, null, inUse = { false }, isCurrent = { false }) shouldBe null
             book.needsReport shouldBe true
         }
     })
