--- a/skylarkstile-config/src/main/kotlin/io/skylarkstile/config/log/Logging.kt
+++ b/skylarkstile-config/src/main/kotlin/io/skylarkstile/config/log/Logging.kt
@@ -4,11 +4,13 @@
  */
 package io.skylarkstile.config.log
 
+import ch.qos.logback.classic.AsyncAppender
 import ch.qos.logback.classic.Level
 import ch.qos.logback.classic.LoggerContext
 import ch.qos.logback.classic.encoder.PatternLayoutEncoder
 import ch.qos.logback.classic.spi.Configurator
 import ch.qos.logback.classic.spi.ILoggingEvent
+import ch.qos.logback.core.Appender
 import ch.qos.logback.core.ConsoleAppender
 import ch.qos.logback.core.encoder.Encoder
 import ch.qos.logback.core.encoder.EncoderBase
@@ -23,12 +25,27 @@
 
 private const val HUMAN_PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX,UTC} %-5level [%thread] %logger{0} %kvp{NONE} %msg%n"
 
+/** Lines that wait for a slow reader; beyond them lines are dropped. */
+private const val QUEUED_LINES = 1_024
+
 /** Libraries whose `info` and `debug` lines say nothing to an operator. */
 private val quietLoggers = listOf("io.netty", "io.ktor")
 
+/** Where log lines go. */
+enum class LogOutput {
+    /** Standard error; a reader that stops holds the process up. */
+    StandardError,
+
+    /** Standard output through a queue; lines beyond it are dropped rather than holding the process up. */
+    StandardOutputQueued,
+}
+
 /** Sets the form and level of log lines; called first in each process. */
-fun configureLogging(settings: LogSettings) {
-    configure(LoggerFactory.getILoggerFactory() as LoggerContext, settings)
+fun configureLogging(
+    settings: LogSettings,
+    output: LogOutput = LogOutput.StandardError,
+) {
+    configure(LoggerFactory.getILoggerFactory() as LoggerContext, settings, output)
 }
 
 /** Writes a line at [level] with the stable [event] name and [fields]. */
@@ -51,7 +68,7 @@
     ContextAwareBase(),
     Configurator {
     override fun configure(context: LoggerContext): Configurator.ExecutionStatus {
-        configure(context, LogSettings())
+        configure(context, LogSettings(), LogOutput.StandardError)
         return Configurator.ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY
     }
 }
@@ -74,19 +91,33 @@
 private fun configure(
     context: LoggerContext,
     settings: LogSettings,
+    output: LogOutput,
 ) {
     context.reset()
-    val appender = ConsoleAppender<ILoggingEvent>()
-    appender.context = context
-    appender.target = "System.err"
-    appender.encoder = encoderOf(context, settings.format)
-    appender.start()
+    val console = ConsoleAppender<ILoggingEvent>()
+    console.context = context
+    console.target = if (output == LogOutput.StandardError) "System.err" else "System.out"
+    console.encoder = encoderOf(context, settings.format)
+    console.start()
+    val appender = if (output == LogOutput.StandardError) console else queued(context, console)
     val root = context.getLogger(Logger.ROOT_LOGGER_NAME)
     root.level = Level.toLevel(settings.level.value)
     root.addAppender(appender)
     quietLoggers.forEach { context.getLogger(it).level = Level.WARN }
 }
 
+internal fun queued(
+    context: LoggerContext,
+    console: Appender<ILoggingEvent>,
+): Appender<ILoggingEvent> = AsyncAppender().apply {
+    this.context = context
+    queueSize = QUEUED_LINES
+    discardingThreshold = 0
+    isNeverBlock = true
+    addAppender(console)
+    start()
+}
+
 /** Removes keys from the finished line, whichever field or stack trace they stand in. */
 private class RedactingEncoder(
     private val line: Encoder<ILoggingEvent>,
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterHolder.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterHolder.kt
@@ -4,6 +4,8 @@
 package io.skylarkstile.gateway.adapter
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import io.skylarkstile.config.log.event
 import io.skylarkstile.core.placement.Popularity
 import io.skylarkstile.gateway.main.Scheduler
 import io.skylarkstile.gateway.main.Timer
@@ -128,7 +130,15 @@
         val stamp = OrderStamp(name, token, checkNotNull(known.book.orders))
         orders.order(known.target.entry, next, stamp) { outcome ->
             if (outcome != OrderOutcome.Accepted && outcome != OrderOutcome.Done) {
-                log.info { "order target=${known.target.id} order=$next expected=${stamp.expected} token=$token outcome=$outcome" }
+                log.event(
+                    Level.INFO,
+                    "order-not-taken",
+                    "target" to known.target.id,
+                    "order" to "$next",
+                    "expected" to stamp.expected,
+                    "token" to token,
+                    "outcome" to "$outcome",
+                ) { "order to ${known.target.id} not taken" }
             }
             known.book.answered(next, outcome, scheduler.now())
             if (known.book.needsReport) doubted(known) else known.doubtfulSince = null
@@ -150,7 +160,7 @@
         while (modelLoads.isNotEmpty() && modelLoads.first() <= now - MODEL_WINDOW_MS) modelLoads.removeFirst()
         if (modelLoads.size >= fleet.modelLoads(target.entry.service)) return null
         modelLoads.addLast(now)
-        log.info { "target ${target.id} started without a base model, loading ${next.model}" }
+        log.event(Level.INFO, "model-load", "target" to target.id, "model" to next.model) { "target started without a base model" }
         return next
     }
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -6,6 +6,7 @@
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
@@ -14,6 +15,7 @@
 import io.netty.channel.WriteBufferWaterMark
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpResponseEncoder
+import io.skylarkstile.config.log.event
 import io.skylarkstile.core.placement.Popularity
 import io.skylarkstile.gateway.adapter.AdapterHolder
 import io.skylarkstile.gateway.adapter.AdapterPlacement
@@ -169,7 +171,15 @@
         follow(StoreKind.AdapterVersions, VersionListener(), 0)
         follow(StoreKind.Instances, membership, 0)
         scheduler.after(TICK_MS, ::tick)
-        log.info { "started ${settings.instance} in ${settings.dataCentre}, callers at ${textOf(settings.callers)}" }
+        log.event(
+            Level.INFO,
+            "started",
+            "instance" to settings.instance,
+            "dataCentre" to settings.dataCentre,
+            "callers" to textOf(settings.callers),
+        ) {
+            "started"
+        }
     }
 
     /** Returns whether new callers are welcome. */
@@ -186,7 +196,7 @@
         serving.isLeaving = true
         exchange.tick()
         exchange.changed()
-        log.info { "leaving, ${serving.runningCalls} calls run" }
+        log.event(Level.INFO, "leaving", "calls" to serving.runningCalls) { "leaving" }
     }
 
     /** Refuses calls from now on, since they could not be finished. */
@@ -246,7 +256,7 @@
     private fun tick() {
         val now = scheduler.now()
         if (suspension.check(now, System.currentTimeMillis())) {
-            log.warn { "clocks moved apart: this process stood still or the time of day jumped" }
+            log.event(Level.WARN, "clocks-apart") { "this process stood still or the time of day jumped" }
             keyFreshness.forget()
             lease.forget(now)
         }
@@ -262,6 +272,8 @@
         membership.tend()
         holder.refresh()
         pool.trim()
+        val omitted = serving.lines.takeOmitted()
+        if (omitted > 0) log.event(Level.INFO, "lines-omitted", "lines" to omitted) { "lines about calls were left out" }
     }
 
     private fun ownTargetChanged(target: TargetState) {
@@ -303,14 +315,21 @@
             if (item.spec == null) return
             ports.records
                 .configuration(item)
-                .onFailure { log.error { "configuration of revision ${item.revision} can't be used: $it" } }
+                .onFailure { log.event(Level.ERROR, "configuration-unusable", "revision" to item.revision) { it } }
                 .onSuccess { configuration ->
                     val before = serving.configuration
                     if (before != null && configuration.revision <= before.revision) return
                     serving.configuration = configuration
                     shares.configure(now, configuration, exchange.instances())
                     targetsChanged()
-                    log.info { "configuration version=${configuration.version} revision=${configuration.revision} in force" }
+                    log.event(
+                        Level.INFO,
+                        "configuration-in-force",
+                        "configuration" to configuration.version,
+                        "revision" to configuration.revision,
+                    ) {
+                        "configuration in force"
+                    }
                 }
         }
     }
@@ -344,7 +363,13 @@
             now: Long,
             afterOutage: Boolean,
         ) {
-            log.info { "target ${item.name} is gone, revision=${item.revision} afterOutage=$afterOutage" }
+            log.event(
+                Level.INFO,
+                "target-gone",
+                "target" to item.name,
+                "revision" to item.revision,
+                "afterOutage" to afterOutage,
+            ) { "target is gone" }
             targets[item.name]?.let { pool.forget(it.entry.address) }
             targets.remove(item.name, now, afterOutage)
         }
@@ -354,7 +379,7 @@
             ports.records
                 .target(item)
                 .onSuccess { entry = it }
-                .onFailure { reason -> log.warn { "entry of target ${item.name} can't be used: $reason" } }
+                .onFailure { reason -> log.event(Level.WARN, "target-unusable", "target" to item.name) { reason } }
             entry
         }
     }
@@ -378,11 +403,16 @@
             if (item.spec == null) return
             ports.records
                 .version(item)
-                .onFailure { log.warn { "version record ${item.name} can't be used: $it" } }
+                .onFailure { log.event(Level.WARN, "version-unusable", "record" to item.name) { it } }
                 .onSuccess { version ->
                     if ((serving.versions[version.name] ?: 0) >= version.version) return
                     serving.versions[version.name] = version.version
-                    log.info { "adapter $version announced, revision=${item.revision}" }
+                    log.event(
+                        Level.INFO,
+                        "version-announced",
+                        "adapter" to "$version",
+                        "revision" to item.revision,
+                    ) { "newer adapter version" }
                 }
         }
     }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/Membership.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/Membership.kt
@@ -5,6 +5,8 @@
 package io.skylarkstile.gateway.membership
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import io.skylarkstile.config.log.event
 import io.skylarkstile.gateway.main.Scheduler
 import io.skylarkstile.gateway.store.KindListener
 import io.skylarkstile.gateway.store.SharedStore
@@ -110,7 +112,12 @@
             set = changed
             return onChange(set)
         }
-        log.info { "instances ${changed.members.keys.sorted()} revision=$revision resumes=$resumes" }
+        log.event(
+            Level.INFO,
+            "instances-changed",
+            "revision" to revision,
+            "resumes" to resumes,
+        ) { "instances ${changed.members.keys.sorted()}" }
         set = changed
         lease.apply(set, targetIds(), revision, resumes, now)
         onChange(set)
@@ -125,7 +132,7 @@
     ) {
         val record = item.spec?.let { recordOrNull(item.name, it) }
         if (record == null) {
-            log.warn { "record of instance ${item.name} can't be read" }
+            log.event(Level.WARN, "record-unreadable", "name" to item.name) { "record of instance ${item.name} can't be read" }
             return
         }
         known[item.name] = Known(record, item.revision, before?.seenAt ?: now)
@@ -143,7 +150,7 @@
             writeAt = scheduler.now() + if (result is StoreResult.Success) 0 else WRITE_PAUSE_MS
             when (result) {
                 is StoreResult.Success -> known[self.name] = Known(record, result.value.revision, now)
-                else -> log.warn { "own record not written: $result" }
+                else -> log.event(Level.WARN, "own-record-not-written", "result" to "$result") { "own record not written" }
             }
         }
         if (expected ==
@@ -164,11 +171,19 @@
         val due = lost.filter { (name, it) -> now - maxOf(heardAt(name) ?: Long.MIN_VALUE, it.seenAt) > LOST_MS + turn * TURN_MS }
         val (name, gone) = due.firstOrNull() ?: return
         isWriting = true
-        log.warn { "removing instance $name: not heard for ${now - maxOf(heardAt(name) ?: 0, gone.seenAt)} ms" }
+        val silentMs = now - maxOf(heardAt(name) ?: Long.MIN_VALUE, gone.seenAt)
+        log.event(
+            Level.WARN,
+            "instance-removed",
+            "instance" to name,
+            "silentMs" to silentMs,
+        ) { "removing instance $name, which nobody hears" }
         store.remove(StoreKind.Instances, name, gone.revision) { result ->
             isWriting = false
             writeAt = scheduler.now() + WRITE_PAUSE_MS
-            if (result !is StoreResult.Success) log.warn { "instance $name not removed: $result" }
+            if (result !is StoreResult.Success) {
+                log.event(Level.WARN, "instance-not-removed", "instance" to name, "result" to "$result") { "instance $name not removed" }
+            }
         }
     }
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -5,6 +5,7 @@
 package io.skylarkstile.gateway.relay
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
@@ -12,6 +13,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
+import io.skylarkstile.config.log.event
 import io.skylarkstile.gateway.adapter.Placement
 import io.skylarkstile.gateway.admission.Admission
 import io.skylarkstile.gateway.http.passedOn
@@ -179,7 +181,9 @@
             waitingSince = now
         }
         if (now - waitingSince > LONGEST_WAIT_MS) {
-            log.info { "call ${call.id} waited ${now - waitingSince} ms for $adapter at ${target.id} in vain" }
+            log.event(Level.INFO, "call-waited-in-vain", "call" to call.id, "target" to target.id, "adapter" to "$adapter") {
+                "waited ${now - waitingSince} ms for an adapter, trying another target"
+            }
             tried.add(target.id)
             return choose()
         }
@@ -395,7 +399,13 @@
         runs--
         mayHaveRun = runs > 0
         if (head.status == MISDIRECTED && running.adapter != null) running.target.adapters -= running.adapter
-        log.debug { "call ${call.id} not run by ${running.target.id}: ${head.status}" }
+        log.event(
+            Level.INFO,
+            "call-not-run",
+            "call" to call.id,
+            "target" to running.target.id,
+            "status" to head.status,
+        ) { "not run by its target" }
         retry(running)
     }
 
@@ -416,7 +426,9 @@
         running: Attempt,
         reason: String,
     ) {
-        log.info { "call ${call.id} failed at ${running.target.id}: $reason" }
+        log.event(Level.INFO, "call-failed-at-target", "call" to call.id, "target" to running.target.id, "reason" to reason) {
+            "failed at its target"
+        }
         if (route.isRepeatable && mayRepeat()) return retry(running)
         endAttempt()
         if (isBegun) breakOff(reason) else refuse(BAD_GATEWAY, "target-failed", null)
@@ -494,11 +506,23 @@
         silenceTimer?.cancel()
         body.release()
         serving.end(this)
-        log.info {
-            "call ${call.id} route=${route.name} workspace=${admitted.workspace?.name} adapter=${call.adapter} " +
-                "target=${attempt?.target?.id} arrivals=$arrivals sentMs=${sentAt?.let { it - arrivedAt }} " +
-                "headMs=${begunAt?.let { it - arrivedAt }} ms=${serving.scheduler.now() - arrivedAt} outcome=$outcome"
-        }
+        val now = serving.scheduler.now()
+        if (!serving.lines.take(now)) return
+        log.event(
+            Level.INFO,
+            "call-ended",
+            "call" to call.id,
+            "route" to route.name,
+            "workspace" to admitted.workspace?.name,
+            "adapter" to call.adapter?.toString(),
+            "target" to (attempt?.target?.id ?: waitingFor),
+            "arrivals" to arrivals,
+            "configuration" to serving.configuration?.version,
+            "sentMs" to sentAt?.let { it - arrivedAt },
+            "headMs" to begunAt?.let { it - arrivedAt },
+            "ms" to now - arrivedAt,
+            "outcome" to outcome,
+        ) { outcome }
     }
 
     private companion object {
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
@@ -4,6 +4,7 @@
 package io.skylarkstile.gateway.relay
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFutureListener
@@ -24,6 +25,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import io.skylarkstile.config.log.event
 import io.skylarkstile.gateway.admission.Admission
 import io.skylarkstile.gateway.main.Timer
 import io.skylarkstile.gateway.model.CallHead
@@ -148,9 +150,7 @@
         when (val admission = serving.admission.admit(arrivedAt, call, serving.configuration)) {
             is Admission.Refused -> {
                 content.release()
-                log.info {
-                    "call ${call.id} refused workspace=${admission.workspace} status=${admission.status} reason=${admission.reason} configuration=${serving.configuration?.version}"
-                }
+                logRefusal(call, admission)
                 Answering(call).refuse(admission.status, admission.reason, admission.retryAfterMs)
             }
 
@@ -162,6 +162,23 @@
         }
     }
 
+    private fun logRefusal(
+        call: CallHead,
+        refused: Admission.Refused,
+    ) {
+        if (!serving.lines.take(serving.scheduler.now())) return
+        log.event(
+            Level.INFO,
+            "call-refused",
+            "call" to call.id,
+            "status" to refused.status,
+            "workspace" to refused.workspace,
+            "retryAfterMs" to refused.retryAfterMs,
+            "configuration" to serving.configuration?.version,
+            "outcome" to refused.reason,
+        ) { refused.reason }
+    }
+
     private fun serviceOf(admission: Admission.Admitted): String {
         val services = admission.route.services
         var mark = serving.random() * services.sumOf { it.weight }
@@ -173,7 +190,9 @@
         detail: String,
     ) {
         if (isClosing) return
-        log.info { "refused a request of ${ctx.channel().remoteAddress()}: $detail" }
+        if (serving.lines.take(serving.scheduler.now())) {
+            log.event(Level.INFO, "request-rejected", "caller" to "${ctx.channel().remoteAddress()}", "status" to status) { detail }
+        }
         isClosing = true
         dropRequest()
         val answer = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.EMPTY_BUFFER)
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/Serving.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/Serving.kt
@@ -5,6 +5,7 @@
 
 import io.skylarkstile.gateway.adapter.AdapterPlacement
 import io.skylarkstile.gateway.admission.CallAdmission
+import io.skylarkstile.gateway.main.LineBudget
 import io.skylarkstile.gateway.main.Scheduler
 import io.skylarkstile.gateway.model.AdapterName
 import io.skylarkstile.gateway.model.AdapterVersion
@@ -40,6 +41,8 @@
     val demand: AdapterDemand,
     val random: () -> Double,
 ) {
+    /** Bounds the log lines about single calls. */
+    val lines = LineBudget()
     private val allowances = HashMap<String, RetryAllowance>()
     private val waiting = LinkedHashSet<CallRun>()
     var configuration: Configuration? = null
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/KindWatch.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/KindWatch.kt
@@ -5,6 +5,8 @@
 package io.skylarkstile.gateway.store
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import io.skylarkstile.config.log.event
 import io.skylarkstile.gateway.main.Scheduler
 
 private val log = KotlinLogging.logger {}
@@ -104,13 +106,13 @@
     private fun failed(result: StoreResult<*>) {
         val now = scheduler.now()
         if (result == StoreResult.HistoryGone) {
-            log.info { "history of $kind is gone, listing it anew" }
+            log.event(Level.INFO, "history-gone", "kind" to "$kind", "revision" to revision) { "history of $kind is gone, listing it anew" }
             revision = null
             return next()
         }
         if (failedSince == null) {
             failedSince = now
-            log.warn { "lost the store for $kind: $result" }
+            log.event(Level.WARN, "store-lost", "kind" to "$kind", "result" to "$result") { "lost the store for $kind" }
         }
         scheduler.after(backoffMs) { next() }
         backoffMs = minOf(backoffMs * 2, LONGEST_BACKOFF_MS)
@@ -121,7 +123,7 @@
         val since = failedSince ?: return
         failedSince = null
         outageEndedAt = now
-        log.info { "regained the store for $kind after ${now - since} ms" }
+        log.event(Level.INFO, "store-regained", "kind" to "$kind", "outageMs" to now - since) { "regained the store for $kind" }
     }
 
     private fun isAfterOutage(now: Long): Boolean = outageEndedAt?.let { now - it < OUTAGE_MEMORY_MS } ?: false
