Go on with targets after a restart; tell what targets hold before orders may be given

A record now names the targets that its instance may order, so only targets whose holder has changed wait again, and a holder reads and tells what its targets have before it may order them.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterHolder.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterHolder.kt
@@ -72,6 +72,7 @@
         var isBusy = false
         var reportAt = 0L
         var doubtfulSince: Long? = null
+        var wasReported = false
         var timer: Timer? = null
 
         /** Returns whether loads can be expected to begin at once. */
@@ -85,8 +86,8 @@
     private val held = HashMap<String, Held>()
     private val modelLoads = ArrayDeque<Long>()
 
-    /** Returns the ids of the targets that can be ordered now. */
-    fun orderable(now: Long): List<TargetState> = held.values.filter { it.isOrderable(now) }.map { it.target }
+    /** Returns the held targets whose adapters are known. */
+    fun known(): List<TargetState> = held.values.filter { it.wasReported }.map { it.target }
 
     /** Follows changes of the targets and of the lease, and continues what waits. Called regularly. */
     fun refresh() {
@@ -119,9 +120,10 @@
     private fun pump(known: Held) {
         if (known.isBusy || held[known.target.id] !== known) return
         val now = scheduler.now()
-        val token = lease.tokenOrNull(known.target.id, now) ?: return
         if (!known.target.entry.isReady) return
+        // Reports are read before orders may be given, so that calls find what is there.
         if (known.book.needsReport) return report(known, now)
+        val token = lease.tokenOrNull(known.target.id, now) ?: return
         val next = nextOrNull(known, now)
         // Publishing lets waiting calls look again, which may come back here, so the target counts as busy first.
         known.isBusy = next != null
@@ -180,6 +182,7 @@
             if (report == null) {
                 known.reportAt = scheduler.now() + REPORT_DELAY_MS
             } else {
+                known.wasReported = true
                 known.book.report(report, scheduler.now())
                 publish(known)
             }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -90,7 +90,7 @@
     startedAt: Long,
     random: Random,
 ) {
-    private val self = InstanceRecord(settings.instance, settings.dataCentre, settings.callers, settings.peers, startedAt, 0)
+    private val self = InstanceRecord(settings.instance, settings.dataCentre, settings.callers, settings.peers, startedAt, emptySet())
     private val targets = TargetTable()
     private val shares =
         WorkspaceShares(QuotaTolerance(settings.bounds.quotaOverage, settings.bounds.quotaSlack, settings.bounds.quotaWindowMs))
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/InstanceSet.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/InstanceSet.kt
@@ -15,17 +15,14 @@
     val peers: InetSocketAddress,
     /** Start of the process in Unix milliseconds. */
     val startedAt: Long,
-    /** Fingerprint of the set that this instance last gave orders under; 0 before. */
-    val settledOn: Long,
+    /** Targets to which this instance may give orders; its next process may go on at once. */
+    val settled: Set<String>,
 )
 
 /** Holds the instances that the store shows. */
 data class InstanceSet(
     val members: Map<String, InstanceRecord>,
 ) {
-    /** Identifies the names of the set. */
-    val fingerprint: Long by lazy { stableHash(members.keys.sorted().joinToString("|")) }
-
     /** Returns the instance that gives orders to [target]. */
     fun holderOrNull(target: String): String? = members.keys.minWithOrNull(compareBy({ stableHash("$target|$it") }, { it }))
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/Membership.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/Membership.kt
@@ -51,7 +51,6 @@
     /** The instances that the store shows. */
     var set = InstanceSet.EMPTY
         private set
-    private var revision = 0L
 
     override fun listed(
         page: StorePage,
@@ -61,7 +60,7 @@
         val before = known.toMap()
         known.clear()
         page.objects.forEach { put(it, now, before[it.name]) }
-        apply(page.revision, resumes = !isListed && isResumed(), now = now)
+        apply(page.revision, if (isListed) emptySet() else known[self.name]?.record?.settled.orEmpty(), now)
         isListed = true
     }
 
@@ -71,7 +70,7 @@
         afterOutage: Boolean,
     ) {
         page.objects.forEach { if (it.spec == null) known.remove(it.name) else put(it, now, known[it.name]) }
-        apply(page.revision, resumes = false, now = now)
+        apply(page.revision, emptySet(), now)
     }
 
     override fun confirmed(at: Long) = lease.confirm(at)
@@ -81,12 +80,12 @@
         val now = scheduler.now()
         if (!isListed || isStopped || isWriting || now < writeAt) return
         val own = known[self.name]
-        val settledOn = if (lease.isSettled(now)) set.fingerprint else own?.record?.settledOn ?: 0
+        val settled = lease.settledOrNull(now) ?: own?.record?.settled.orEmpty()
         when {
-            own == null -> write(self.copy(settledOn = 0), null, now)
-            own.record.startedAt != self.startedAt || own.record.settledOn != settledOn ->
+            own == null -> write(self, null, now)
+            own.record.startedAt != self.startedAt || own.record.settled != settled ->
                 write(
-                    self.copy(settledOn = settledOn),
+                    self.copy(settled = settled),
                     own.revision,
                     now,
                 )
@@ -99,14 +98,11 @@
         isStopped = true
     }
 
-    private fun isResumed(): Boolean = known[self.name]?.record?.settledOn == set(known).fingerprint
-
     private fun apply(
         revision: Long,
-        resumes: Boolean,
+        resumed: Set<String>,
         now: Long,
     ) {
-        this.revision = revision
         val changed = set(known)
         if (changed.members.keys == set.members.keys && isListed) {
             set = changed
@@ -116,10 +112,10 @@
             Level.INFO,
             "instances-changed",
             "revision" to revision,
-            "resumes" to resumes,
+            "resumed" to resumed.size,
         ) { "instances ${changed.members.keys.sorted()}" }
         set = changed
-        lease.apply(set, targetIds(), revision, resumes, now)
+        lease.apply(set, targetIds(), revision, resumed, now)
         onChange(set)
     }
 
@@ -192,7 +188,7 @@
         callers = textOf(record.callers),
         peers = textOf(record.peers),
         startedAt = record.startedAt,
-        settledOn = record.settledOn,
+        settled = record.settled.sorted(),
     )
 
     private fun recordOrNull(
@@ -200,7 +196,14 @@
         spec: String,
     ): InstanceRecord? = try {
         val stored = recordJson.decodeFromString(GatewayInstance.serializer(), spec)
-        InstanceRecord(name, stored.dataCentre, addressOf(stored.callers), addressOf(stored.peers), stored.startedAt, stored.settledOn)
+        InstanceRecord(
+            name,
+            stored.dataCentre,
+            addressOf(stored.callers),
+            addressOf(stored.peers),
+            stored.startedAt,
+            stored.settled.toSet(),
+        )
     } catch (e: IllegalArgumentException) {
         log.debug { "record $name: ${e.message}" }
         null
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/OrderLease.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/OrderLease.kt
@@ -29,6 +29,7 @@
     private var set = InstanceSet.EMPTY
     private var changedAt = 0L
     private var changedRevision = 0L
+    private var resumed = emptySet<String>()
 
     /**
      * Notes that the store showed the known set at time [at]. After a gap in which another instance could have joined, held orders and
@@ -47,18 +48,19 @@
     }
 
     /**
-     * Applies the [set] that the store showed at [revision]. With [resumes] nobody else can have held what this instance holds now: its
-     * own record outlived its last process, and the set is the one that process gave orders under.
+     * Applies the [set] that the store showed at [revision]. [resumed] holds the targets that the last process of this instance was
+     * entitled to order, as its record says: the record outlived it, so nobody else can have become their holder.
      */
     fun apply(
         set: InstanceSet,
         targets: Collection<String>,
         revision: Long,
-        resumes: Boolean,
+        resumed: Set<String>,
         now: Long,
     ) {
         this.set = set
-        changedAt = if (resumes) now - waitMs else now
+        this.resumed = resumed
+        changedAt = now
         changedRevision = revision
         refresh(targets)
     }
@@ -67,7 +69,20 @@
     fun refresh(targets: Collection<String>) {
         val held = targets.filterTo(HashSet()) { set.holderOrNull(it) == name }
         holdings.keys.retainAll(held)
-        held.forEach { target -> holdings.getOrPut(target) { Holding(changedAt, changedRevision) } }
+        held.forEach { target ->
+            holdings.getOrPut(target) {
+                Holding(
+                    if (target in
+                        resumed
+                    ) {
+                        changedAt - waitMs
+                    } else {
+                        changedAt
+                    },
+                    changedRevision,
+                )
+            }
+        }
     }
 
     /** Returns the fencing token for orders to [target], or null when this instance must not order it now. */
@@ -82,11 +97,15 @@
     /** Returns whether this instance is or becomes the holder of [target]. */
     fun isHolder(target: String): Boolean = target in holdings
 
-    /** Returns whether all waits of the present set are over, so that it may be recorded as the settled one. */
-    fun isSettled(now: Long): Boolean = freshness.isFresh(now) && name in set.members && now >= changedAt + waitMs
+    /** Returns the targets that this instance may order now, or null while that isn't known. */
+    fun settledOrNull(now: Long): Set<String>? {
+        if (!freshness.isFresh(now) || name !in set.members) return null
+        return holdings.filterValues { now >= it.since + waitMs }.keys.toSet()
+    }
 
     private fun restart(now: Long) {
         changedAt = now
+        resumed = emptySet()
         holdings.replaceAll { _, holding -> Holding(now, holding.token) }
     }
 }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
@@ -136,7 +136,7 @@
     ) {
         val target = targets[held.target] ?: return
         holderOf[held.target] = sender
-        target.orderableUntil = now + HELD_MS
+        if (held.isOrderable) target.orderableUntil = now + HELD_MS
         val present = held.present.mapNotNull(AdapterVersion::parseOrNull).associateWith { AdapterPhase.Present }
         val loading =
             held.loading.mapNotNull { item ->
@@ -169,7 +169,7 @@
                 calls = targets.all.filter { it.ownWeight.calls > 0 }.map(::callsOn),
                 demands = shares.demands(now).map { (name, demand) -> WorkspaceDemand(name, demand) },
                 asked = asked.toList(),
-                held = holder.orderable(now).map { held(it, now) },
+                held = holder.known().map { held(it, now) },
             )
         asked.clear()
         send(GatewayDatagram(sender = self.name, state = state), others.map { it.peers })
@@ -187,6 +187,7 @@
         val (present, loading) = target.adapters.entries.partition { it.value == AdapterPhase.Present }
         return HeldTarget(
             target = target.id,
+            isOrderable = target.isOrderable(now),
             present = present.map { "${it.key}" },
             loading =
                 loading.map { (adapter, phase) ->
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/membership/OrderLeaseSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/membership/OrderLeaseSpec.kt
@@ -20,8 +20,8 @@
 
 private fun record(
     name: String,
-    settledOn: Long = 0,
-) = InstanceRecord(name, "dc", InetSocketAddress("127.0.0.1", 1), InetSocketAddress("127.0.0.1", 2), 1, settledOn)
+    settled: Set<String> = emptySet(),
+) = InstanceRecord(name, "dc", InetSocketAddress("127.0.0.1", 1), InetSocketAddress("127.0.0.1", 2), 1, settled)
 
 private fun setOf(names: Collection<String>) = InstanceSet(names.associateWith { record(it) })
 
@@ -31,7 +31,7 @@
 ) {
     var lease = OrderLease(name, LEASE_MS)
     var seen = -1L
-    var settledOn = 0L
+    var settled = emptySet<String>()
     var suspendedMs = 0L
     var isSuspended = false
     var mustForget = false
@@ -46,13 +46,12 @@
         now: Long,
     ) {
         if (seen != revision) {
-            val resumes = seen < 0 && name in set.members && settledOn == set.fingerprint
-            lease.apply(set, targets, revision, resumes, now)
+            lease.apply(set, targets, revision, if (seen < 0 && name in set.members) settled else emptySet(), now)
             seen = revision
         }
         lease.confirm(now)
-        if (name !in set.members) settledOn = 0
-        if (lease.isSettled(now)) settledOn = set.fingerprint
+        if (name !in set.members) settled = emptySet()
+        lease.settledOrNull(now)?.let { settled = it }
     }
 }
 
@@ -114,21 +113,21 @@
 
         test("a new holder waits for the confirmations of the old one to run out, and a restarted one resumes at once") {
             val lease = OrderLease("a", LEASE_MS)
-            lease.apply(setOf(listOf("a")), targets, 5, resumes = false, now = 1_000)
+            lease.apply(setOf(listOf("a")), targets, 5, resumed = emptySet(), now = 1_000)
             lease.confirm(1_000)
             lease.tokenOrNull("t-1", 1_000) shouldBe null
             lease.confirm(8_000)
             lease.tokenOrNull("t-1", 8_400) shouldBe 5
             lease.tokenOrNull("t-1", 12_001) shouldBe null
             val resumed = OrderLease("a", LEASE_MS)
-            resumed.apply(setOf(listOf("a")), targets, 9, resumes = true, now = 1_000)
+            resumed.apply(setOf(listOf("a")), targets, 9, resumed = targets.toSet(), now = 1_000)
             resumed.confirm(1_000)
             resumed.tokenOrNull("t-1", 1_000) shouldBe 9
         }
 
         test("a suspension ends the right to give orders until the set is confirmed again and the wait is over") {
             val lease = OrderLease("a", LEASE_MS)
-            lease.apply(setOf(listOf("a")), targets, 5, resumes = true, now = 1_000)
+            lease.apply(setOf(listOf("a")), targets, 5, resumed = targets.toSet(), now = 1_000)
             lease.confirm(1_000)
             lease.tokenOrNull("t-1", 1_100) shouldNotBe null
             lease.forget(1_200)
