--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/Freshness.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/Freshness.kt
@@ -5,7 +5,7 @@
 
 /** Tells whether the last confirmation is at most [maxAgeMs] milliseconds old. */
 class Freshness(
-    private val maxAgeMs: Long,
+    var maxAgeMs: Long,
 ) {
     private var confirmedAt: Long? = null
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/WorkspaceShare.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/WorkspaceShare.kt
@@ -31,7 +31,7 @@
     rate: TokenRate,
     startedAt: Long,
     instances: Int,
-    private val tolerance: QuotaTolerance,
+    var tolerance: QuotaTolerance,
 ) {
     var rate: TokenRate = rate
         private set
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/WorkspaceShares.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/WorkspaceShares.kt
@@ -8,10 +8,16 @@
 
 /** Holds a [WorkspaceShare] for each workspace with a rate. Not thread-safe. */
 class WorkspaceShares(
-    private val tolerance: QuotaTolerance,
+    private var tolerance: QuotaTolerance,
 ) {
     private val shares = HashMap<String, WorkspaceShare>()
 
+    /** Applies a changed [tolerance]. */
+    fun tolerate(tolerance: QuotaTolerance) {
+        this.tolerance = tolerance
+        shares.values.forEach { it.tolerance = tolerance }
+    }
+
     /** Applies the rates of [configuration]. */
     fun configure(
         now: Long,
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -182,6 +182,17 @@
         }
     }
 
+    /** Applies changed [settings] as far as a running instance can; its name and addresses stay until it is started again. */
+    fun reconfigure(settings: GatewaySettings) {
+        val bounds = settings.bounds
+        serving.bounds = bounds
+        keyFreshness.maxAgeMs = bounds.revokeMs - KEY_MARGIN_MS
+        lease.leaseMs = bounds.leaseMs
+        shares.tolerate(QuotaTolerance(bounds.quotaOverage, bounds.quotaSlack, bounds.quotaWindowMs))
+        val needsRestart = settings.copy(bounds = this.settings.bounds) != this.settings
+        log.event(Level.INFO, "settings-applied", "needsRestart" to needsRestart) { "changed settings applied" }
+    }
+
     /** Returns whether new callers are welcome. */
     fun isReady(): Boolean = !serving.isLeaving && serving.configuration != null && keyFreshness.isFresh(scheduler.now())
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/OrderLease.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/OrderLease.kt
@@ -16,7 +16,7 @@
 /** Decides about orders for the instance [name]; [leaseMs] is the least time between orders of two holders. Not thread-safe. */
 class OrderLease(
     private val name: String,
-    private val leaseMs: Long,
+    var leaseMs: Long,
 ) {
     private class Holding(
         val since: Long,
@@ -24,7 +24,7 @@
     )
 
     private val freshness = Freshness(CONFIRMATION_MS)
-    private val waitMs = CONFIRMATION_MS + leaseMs + MARGIN_MS
+    private val waitMs: Long get() = CONFIRMATION_MS + leaseMs + MARGIN_MS
     private val holdings = HashMap<String, Holding>()
     private var set = InstanceSet.EMPTY
     private var changedAt = 0L
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/Serving.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/Serving.kt
@@ -30,7 +30,7 @@
 
 /** Holds the shared parts; runs on the event loop. */
 internal class Serving(
-    val bounds: Bounds,
+    bounds: Bounds,
     val scheduler: Scheduler,
     val codec: CallCodec,
     val pool: TargetPool,
@@ -45,6 +45,11 @@
     val lines = LineBudget()
     private val allowances = HashMap<String, RetryAllowance>()
     private val waiting = LinkedHashSet<CallRun>()
+    var bounds: Bounds = bounds
+        set(value) {
+            if (value != field) allowances.clear()
+            field = value
+        }
     var configuration: Configuration? = null
     val versions = HashMap<AdapterName, Long>()
 
