Admit large calls while the workspace is below its rate; keep answering address questions in an outage

Instances now tell what they have admitted, and a call beyond the share is admitted while the fleet's bucket is well filled. WorkspaceShareSpec plays such calls: 24 refusals before, none after; the overload test holds.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/WorkspaceShare.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/WorkspaceShare.kt
@@ -2,6 +2,10 @@
  * Admission of one workspace's calls on one instance. The fleet-wide rate is split by what each instance is asked for, which instances
  * tell each other; no call waits for an answer from a peer. An instance that hears nobody keeps its last share, so that the sum of the
  * shares stays within the rate. Answers a load of one workspace that sends several times its rate.
+ *
+ * Beside its share, each instance follows the bucket of the whole fleet by what the others say they have admitted. While that bucket is
+ * well filled, a call that doesn't fit into the share is admitted too: answers a load of a few large calls, which would exhaust the share
+ * of the instance they arrive at although the workspace is below its rate.
  */
 package io.skylarkstile.gateway.admission
 
@@ -19,6 +23,9 @@
 /** Part of the tolerated excess that the shares' bursts use; the rest covers instances that restart with a fresh share. */
 private const val USED_TOLERANCE = 0.4
 
+/** Part of the burst that the fleet's bucket must keep for a call beyond the share: it covers what the others haven't told yet. */
+private const val FLEET_RESERVE = 0.35
+
 /** The excess over a window that the deployment tolerates: [overage] of the rate and burst, and [slack] tokens. */
 data class QuotaTolerance(
     val overage: Double,
@@ -45,6 +52,12 @@
         }
     private var level = capacity
     private var levelAt = startedAt
+    private var fleetLevel = 0.0
+    private var isFleetKnown = false
+
+    /** Tokens admitted since the start of the process. */
+    var admitted = 0L
+        private set
     private var asked = 0.0
     private var askedAt = startedAt
 
@@ -66,11 +79,23 @@
         asked = demandWeight(now) + cost
         askedAt = now
         refill(now)
-        if (level < min(cost.toDouble(), capacity / 2)) return false
-        level -= cost
+        val fits = level >= min(cost.toDouble(), capacity / 2)
+        if (!fits && !(isFleetKnown && fleetLevel - cost >= rate.burst * FLEET_RESERVE)) return false
+        level = if (fits) level - cost else max(level - cost, -capacity)
+        fleetLevel -= cost
+        admitted += cost
         return true
     }
 
+    /** Takes note of [tokens] that the other instances have admitted. */
+    fun admittedElsewhere(
+        now: Long,
+        tokens: Long,
+    ) {
+        refill(now)
+        fleetLevel -= tokens
+    }
+
     /** Gives back [cost] tokens of a call that did not run. */
     fun refund(
         now: Long,
@@ -78,6 +103,8 @@
     ) {
         refill(now)
         level = min(level + cost, capacity)
+        fleetLevel = min(fleetLevel + cost, rate.burst)
+        admitted -= cost
     }
 
     /** Returns the time in milliseconds after which a call of [cost] tokens is likely to be admitted. */
@@ -95,13 +122,17 @@
 
     /**
      * Splits the rate by the demand of all instances; [others] holds what each of the others was last asked for. What nobody asks for is
-     * split evenly.
+     * split evenly. [isFleetKnown] tells whether all of the others were heard lately.
      */
     fun split(
         now: Long,
         others: List<Double>,
+        isFleetKnown: Boolean,
     ) {
         refill(now)
+        // A process that has just started, or missed others, doesn't know what was spent meanwhile: the bucket fills up from empty.
+        if (isFleetKnown && !this.isFleetKnown) fleetLevel = min(fleetLevel, 0.0)
+        this.isFleetKnown = isFleetKnown
         val instances = others.size + 1
         val demand = demand(now)
         val total = demand + others.sum()
@@ -116,6 +147,7 @@
 
     private fun refill(now: Long) {
         level = min(capacity, level + (now - levelAt) / MS_PER_S * rate.perSecond * part)
+        fleetLevel = min(rate.burst, fleetLevel + (now - levelAt) / MS_PER_S * rate.perSecond)
         levelAt = now
     }
 }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/WorkspaceShares.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/WorkspaceShares.kt
@@ -11,6 +11,7 @@
     private var tolerance: QuotaTolerance,
 ) {
     private val shares = HashMap<String, WorkspaceShare>()
+    private val toldAdmitted = HashMap<Pair<String, String>, Long>()
 
     /** Applies a changed [tolerance]. */
     fun tolerate(tolerance: QuotaTolerance) {
@@ -36,14 +37,30 @@
     /** Returns the share of [workspace], or null when it has no rate. */
     fun shareOrNull(workspace: Workspace): WorkspaceShare? = shares[workspace.name]
 
-    /** Returns what callers ask of this instance in tokens per second, by workspace. */
-    fun demands(now: Long): Map<String, Double> = shares.mapValues { (_, share) -> share.demand(now) }
+    /** Returns what this instance tells the others, by workspace. */
+    fun demands(now: Long): Map<String, ShareDemand> = shares.mapValues { (_, share) -> ShareDemand(share.demand(now), share.admitted) }
 
-    /** Splits all rates again; each entry of [others] holds the demands of one other instance. */
+    /** Takes note of what the process [peer] has admitted in all, by workspace. */
+    fun told(
+        now: Long,
+        peer: String,
+        demands: Map<String, ShareDemand>,
+    ) {
+        demands.forEach { (workspace, demand) ->
+            val before = toldAdmitted.put(peer to workspace, demand.admitted)
+            if (before != null) shares[workspace]?.admittedElsewhere(now, demand.admitted - before)
+        }
+    }
+
+    /**
+     * Splits all rates again; each entry of [others] holds the demands of one other instance. [isFleetKnown] tells whether all of them were
+     * heard lately.
+     */
     fun split(
         now: Long,
-        others: List<Map<String, Double>>,
+        others: List<Map<String, ShareDemand>>,
+        isFleetKnown: Boolean,
     ) {
-        shares.forEach { (name, share) -> share.split(now, others.map { it[name] ?: 0.0 }) }
+        shares.forEach { (name, share) -> share.split(now, others.map { it[name]?.tokensPerSecond ?: 0.0 }, isFleetKnown) }
     }
 }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -101,7 +101,9 @@
     private val choice = TargetChoice(settings.dataCentre, random::nextDouble)
     private val socket = PeerSocket { exchange.receive(it) }
     private val exchange: PeerExchange =
-        PeerExchange(self, scheduler, targets, shares, popularity, socket::send, { !isReady() }, { serving.adaptersChanged(it.id) })
+        PeerExchange(self, scheduler, targets, shares, popularity, socket::send, {
+            serving.isLeaving
+        }, ::isReady, { serving.adaptersChanged(it.id) })
     private val serving: Serving =
         Serving(
             settings.bounds,
@@ -196,10 +198,12 @@
     /** Returns whether new callers are welcome. */
     fun isReady(): Boolean = !serving.isLeaving && serving.configuration != null && keyFreshness.isFresh(scheduler.now())
 
-    /** Returns where callers may connect. */
+    /** Returns where callers may connect: the ready instances, or while none is ready all that are present and don't leave. */
     fun callerAddresses(): List<String> {
-        val own = if (isReady()) listOf(settings.callers) else emptyList()
-        return (own + exchange.callerAddresses(scheduler.now())).map(::textOf)
+        val now = scheduler.now()
+        val ready = (if (isReady()) listOf(settings.callers) else emptyList()) + exchange.readyAddresses(now)
+        val present = (if (serving.isLeaving) emptyList() else listOf(settings.callers)) + exchange.presentAddresses(now)
+        return ready.ifEmpty { present }.map(::textOf)
     }
 
     /** Tells callers and peers that this instance leaves. Calls go on, new ones too, while callers move to other instances. */
@@ -279,7 +283,7 @@
     private fun slowTick(now: Long) {
         if (targets.expire(now).isNotEmpty()) lease.refresh(targets.all.map { it.id })
         serving.instances = exchange.instances()
-        shares.split(now, exchange.board.states().map { state -> state.demands.associate { it.workspace to it.tokensPerSecond } })
+        shares.split(now, exchange.demandsElsewhere(), exchange.isFleetKnown(now))
         membership.tend()
         holder.refresh()
         pool.trim()
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
@@ -5,6 +5,7 @@
 
 import io.skylarkstile.core.placement.Popularity
 import io.skylarkstile.gateway.adapter.AdapterHolder
+import io.skylarkstile.gateway.admission.ShareDemand
 import io.skylarkstile.gateway.admission.WorkspaceShares
 import io.skylarkstile.gateway.main.Scheduler
 import io.skylarkstile.gateway.membership.InstanceRecord
@@ -47,6 +48,7 @@
     private val popularity: Popularity,
     private val send: (GatewayDatagram, Collection<InetSocketAddress>) -> Unit,
     private val isLeaving: () -> Boolean,
+    private val isReady: () -> Boolean,
     private val onAdapters: (TargetState) -> Unit,
 ) : AdapterDemand {
     val board = PeerBoard()
@@ -91,6 +93,8 @@
         val state = datagram.state ?: return
         if (datagram.sender == self.name || datagram.sender !in members.members) return
         if (!board.hear(datagram.sender, state, now)) return
+        // A new process counts anew, so the name alone would give a jump.
+        shares.told(now, "${datagram.sender}/${state.startedAt}", demandsOf(state))
         state.asked.forEach { popularity.record(it, now) }
         state.held.forEach { applyHeld(it, datagram.sender, now) }
         recount()
@@ -119,13 +123,30 @@
         return board.states().any { state -> state.calls.any { it.target == target.id && text in it.adapters } }
     }
 
-    /** Returns where callers may connect: the present instances that want new callers. */
-    fun callerAddresses(now: Long): List<InetSocketAddress> = board
+    /** Returns where callers reach the present instances that are ready. */
+    fun readyAddresses(now: Long): List<InetSocketAddress> = addresses(now) { it.isReady && !it.isLeaving }
+
+    /** Returns where callers reach the present instances that don't leave. */
+    fun presentAddresses(now: Long): List<InetSocketAddress> = addresses(now) { !it.isLeaving }
+
+    private fun addresses(
+        now: Long,
+        wanted: (GatewayState) -> Boolean,
+    ): List<InetSocketAddress> = board
         .recent(now, PRESENT_MS)
-        .filterValues { !it.isLeaving }
+        .filterValues(wanted)
         .keys
         .mapNotNull { members.members[it]?.callers }
 
+    /** Returns what the other instances last said of their workspaces. */
+    fun demandsElsewhere(): List<Map<String, ShareDemand>> = board.states().map(::demandsOf)
+
+    /** Returns whether all other instances were heard lately. */
+    fun isFleetKnown(now: Long): Boolean = board.recent(now, PRESENT_MS).size == others.size
+
+    private fun demandsOf(state: GatewayState): Map<String, ShareDemand> =
+        state.demands.associate { it.workspace to ShareDemand(it.tokensPerSecond, it.admitted) }
+
     /** Returns the number of instances that share the bounds, this one included. */
     fun instances(): Int = maxOf(1, members.members.size)
 
@@ -166,8 +187,9 @@
                 startedAt = self.startedAt,
                 number = ++number,
                 isLeaving = isLeaving(),
+                isReady = isReady(),
                 calls = targets.all.filter { it.ownWeight.calls > 0 }.map(::callsOn),
-                demands = shares.demands(now).map { (name, demand) -> WorkspaceDemand(name, demand) },
+                demands = shares.demands(now).map { (name, demand) -> WorkspaceDemand(name, demand.tokensPerSecond, demand.admitted) },
                 asked = asked.toList(),
                 held = holder.known().map { held(it, now) },
             )
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/admission/WorkspaceShareSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/admission/WorkspaceShareSpec.kt
@@ -16,19 +16,30 @@
 private val tolerance = QuotaTolerance(overage = 0.1, slack = 110_000.0, windowMs = 8_000)
 private val rate = TokenRate(perSecond = 100_000.0, burst = 100_000.0, plainTokens = 200)
 
-/** Shares of one workspace on several instances that tell each other their demand every 250 ms. */
+/** Shares of one workspace on several instances that tell each other their demand and what they have admitted every 250 ms. */
 private class Shares(
     instances: Int,
+    rate: TokenRate = io.skylarkstile.gateway.admission.rate,
 ) {
     val shares = List(instances) { WorkspaceShare(rate, 0, instances, tolerance) }
+    private val told = Array(instances) { LongArray(instances) }
 
     fun split(
         now: Long,
         reachable: (Int, Int) -> Boolean = { _, _ -> true },
         last: Array<DoubleArray>,
     ) {
-        shares.indices.forEach { i -> shares.indices.forEach { j -> if (reachable(i, j)) last[i][j] = shares[j].demand(now) } }
-        shares.forEachIndexed { i, share -> share.split(now, last[i].filterIndexed { j, _ -> j != i }) }
+        shares.indices.forEach { i ->
+            shares.indices.filter { it != i && reachable(i, it) }.forEach { j ->
+                last[i][j] = shares[j].demand(now)
+                shares[i].admittedElsewhere(now, shares[j].admitted - told[i][j])
+                told[i][j] = shares[j].admitted
+            }
+        }
+        shares.forEachIndexed { i, share ->
+            val isKnown = shares.indices.all { it == i || reachable(i, it) }
+            share.split(now, last[i].filterIndexed { j, _ -> j != i }, isKnown)
+        }
     }
 }
 
@@ -70,6 +81,22 @@
             refused shouldBe 0
         }
 
+        test("a few calls far larger than a share are admitted while the workspace is below its rate, and its small ones too") {
+            val small = TokenRate(perSecond = 16_000.0, burst = 30_000.0, plainTokens = 200)
+            val fleet = Shares(6, small)
+            val last = Array(6) { DoubleArray(6) }
+            val random = Random(11)
+            var refused = 0
+            for (now in 0L..60_000L step 10) {
+                if (now % 250 == 0L) fleet.split(now, last = last)
+                if (now < 5_000) continue
+                val cost = if (now % 4_000 == 0L) 18_000 else 350
+                val arrives = now % 4_000 == 0L || random.nextInt(10) == 0
+                if (arrives && !fleet.shares[random.nextInt(6)].admit(now, cost)) refused++
+            }
+            refused shouldBe 0
+        }
+
         test("a lowered rate holds at once and a call that did not run is given back") {
             val share = WorkspaceShare(rate, 0, 1, tolerance)
             share.change(0, rate.copy(perSecond = 1_000.0, burst = 1_000.0))
