--- /dev/null
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/adapter/AdapterHolderSpec.kt
@@ -0,0 +1,151 @@
+/*
+ * Guards against two orders to one target at once, orders without a right to give them, and base models loaded faster than the weight store
+ * allows.
+ */
+package io.skylarkstile.gateway.adapter
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.shouldBe
+import io.skylarkstile.core.placement.Popularity
+import io.skylarkstile.gateway.ManualScheduler
+import io.skylarkstile.gateway.adapter
+import io.skylarkstile.gateway.entry
+import io.skylarkstile.gateway.membership.InstanceRecord
+import io.skylarkstile.gateway.membership.InstanceSet
+import io.skylarkstile.gateway.membership.OrderLease
+import io.skylarkstile.gateway.model.AdapterName
+import io.skylarkstile.gateway.model.AdapterVersion
+import io.skylarkstile.gateway.model.TargetEntry
+import io.skylarkstile.gateway.target.TargetState
+import io.skylarkstile.gateway.target.TargetTable
+import java.net.InetSocketAddress
+
+/** Targets that take every order after 5 ms and count how many are under way at each. */
+private class CountingOrders(
+    private val scheduler: ManualScheduler,
+    private val models: Set<String>,
+) : TargetOrders {
+    val sent = ArrayList<Pair<String, TargetOrder>>()
+    val underWay = HashMap<String, Int>()
+    var most = 0
+    private val present = HashMap<String, HashSet<AdapterVersion>>()
+    private val taken = HashMap<String, Long>()
+
+    override fun order(
+        target: TargetEntry,
+        order: TargetOrder,
+        stamp: OrderStamp,
+        done: (OrderOutcome) -> Unit,
+    ) {
+        sent.add(target.id to order)
+        most = maxOf(most, underWay.merge(target.id, 1, Int::plus)!!)
+        scheduler.after(5) {
+            underWay.merge(target.id, -1, Int::plus)
+            val held = present.getOrPut(target.id) { HashSet() }
+            val outcome =
+                when (order) {
+                    is AdapterOrder.Load -> OrderOutcome.Accepted.also { held.add(order.adapter) }
+                    is AdapterOrder.Unload -> OrderOutcome.Done.also { held.remove(order.adapter) }
+                    is AdapterOrder.Check -> OrderOutcome.Done
+                    is TargetOrder.LoadModel -> OrderOutcome.Accepted
+                }
+            if (order !is AdapterOrder.Check) taken.merge(target.id, 1, Long::plus)
+            done(outcome)
+        }
+    }
+
+    override fun report(
+        target: TargetEntry,
+        done: (TargetReport?) -> Unit,
+    ) {
+        scheduler.after(5) { done(TargetReport(taken[target.id] ?: 0, models, false, present[target.id].orEmpty(), emptySet())) }
+    }
+}
+
+private class View(
+    private val needsModel: Boolean,
+) : FleetView {
+    override fun isInUse(
+        target: TargetState,
+        adapter: AdapterVersion,
+    ) = false
+
+    override fun current(name: AdapterName) = AdapterVersion(name, 1)
+
+    override fun adapterCapacity(service: String) = 4
+
+    override fun missingModelOrNull(
+        target: TargetState,
+        held: Set<String>,
+    ) = "base".takeIf { needsModel && it !in held }
+
+    override fun modelLoads(service: String) = 2
+}
+
+private class Fixture(
+    targetIds: List<String>,
+    models: Set<String> = setOf("base"),
+) {
+    val scheduler = ManualScheduler()
+    val lease = OrderLease("a", 3_000)
+    val orders = CountingOrders(scheduler, models)
+    val targets = TargetTable().apply { targetIds.forEach { put(entry(it)) } }
+    var onChange: (TargetState) -> Unit = {}
+    val holder =
+        AdapterHolder("a", lease, targets, orders, View(models.isEmpty()), Popularity(), scheduler) { onChange(it) }
+
+    init {
+        val record = InstanceRecord("a", "dc", InetSocketAddress("127.0.0.1", 1), InetSocketAddress("127.0.0.1", 2), 1, emptySet())
+        lease.apply(InstanceSet(mapOf("a" to record)), targetIds, 3, emptySet(), 0)
+    }
+
+    /** Advances in steps as the instance's own timer does, confirming the set all along. */
+    fun run(ms: Long) {
+        repeat((ms / 50).toInt()) {
+            lease.confirm(scheduler.now())
+            holder.refresh()
+            scheduler.advance(50)
+        }
+    }
+}
+
+class AdapterHolderSpec :
+    FunSpec({
+        test("a call that looks again while others are told doesn't lead to a second order at the same time") {
+            val fixture = Fixture(listOf("t"))
+            fixture.run(8_000)
+            var next = 0
+            fixture.onChange = { repeat(3) { fixture.holder.wish("t", adapter("a${next++ % 20}")) } }
+            repeat(40) {
+                fixture.holder.wish("t", adapter("b${it % 7}"))
+                fixture.run(50)
+            }
+            fixture.orders.sent.size shouldBeGreaterThan 40
+            fixture.orders.most shouldBe 1
+        }
+
+        test("no order before the wait for an older holder is over, though what the target has is known") {
+            val fixture = Fixture(listOf("t"))
+            fixture.holder.refresh()
+            fixture.holder.wish("t", adapter("a"))
+            fixture.run(7_000)
+            fixture.orders.sent.shouldBeEmpty()
+            fixture.holder.known() shouldHaveSize 1
+            fixture.run(1_000)
+            fixture.holder.wish("t", adapter("a"))
+            fixture.orders.sent shouldHaveSize 1
+        }
+
+        test("targets that all started anew get their base models no faster than the weight store allows") {
+            val fixture = Fixture(List(6) { "t$it" }, models = emptySet())
+            fixture.run(7_400)
+            val first =
+                fixture.orders.sent
+                    .map { it.first }
+                    .toSet()
+            first shouldHaveSize 2
+        }
+    })
