--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/Membership.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/Membership.kt
@@ -208,7 +208,7 @@
             stored.settled.toSet(),
         )
     } catch (e: IllegalArgumentException) {
-        log.debug { "record $name: ${e.message}" }
+        log.event(Level.DEBUG, "record-malformed", "name" to name) { e.message ?: "malformed" }
         null
     }
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerSocket.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerSocket.kt
@@ -5,6 +5,7 @@
 package io.skylarkstile.gateway.peer
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
@@ -16,6 +17,7 @@
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
+import io.skylarkstile.config.log.event
 import io.skylarkstile.schema.generated.GatewayDatagram
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerializationException
@@ -57,7 +59,7 @@
         if (receivers.isEmpty()) return
         val bytes = cbor.encodeToByteArray(GatewayDatagram.serializer(), datagram)
         if (bytes.size > MAX_DATAGRAM_BYTES) {
-            log.warn { "datagram of ${bytes.size} bytes is too large, not sent" }
+            log.event(Level.WARN, "datagram-too-large", "bytes" to bytes.size) { "datagram is too large, not sent" }
             return
         }
         receivers.forEach { channel.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), it)) }
@@ -72,9 +74,9 @@
             try {
                 receive(cbor.decodeFromByteArray(GatewayDatagram.serializer(), ByteBufUtil.getBytes(packet.content())))
             } catch (e: SerializationException) {
-                log.warn { "dropped a malformed datagram of ${packet.sender()}: ${e.message}" }
+                log.event(Level.WARN, "datagram-malformed", "sender" to packet.sender()) { e.message ?: "malformed" }
             } catch (e: IllegalArgumentException) {
-                log.warn { "dropped a malformed datagram of ${packet.sender()}: ${e.message}" }
+                log.event(Level.WARN, "datagram-malformed", "sender" to packet.sender()) { e.message ?: "malformed" }
             }
         }
 
@@ -82,7 +84,7 @@
             ctx: ChannelHandlerContext,
             cause: Throwable,
         ) {
-            log.debug { "datagram socket: ${cause.message}" }
+            log.event(Level.DEBUG, "datagram-socket-failed") { cause.message ?: "failed" }
         }
     }
 }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallEnd.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallEnd.kt
@@ -23,15 +23,20 @@
     val sentAt: Long?,
     val begunAt: Long?,
     val endedAt: Long,
-)
+) {
+    val sentMs: Long? get() = sentAt?.let { it - arrivedAt }
+    val headMs: Long? get() = begunAt?.let { it - arrivedAt }
+    val ms: Long get() = endedAt - arrivedAt
+}
 
-/** Writes how [call] ended. */
-internal fun KLogger.callEnded(
+/** Writes to [log] how [call] ended. */
+internal fun logCallEnd(
+    log: KLogger,
     call: CallHead,
     end: CallEnd,
     times: CallTimes,
     outcome: String,
-) = event(
+) = log.event(
     Level.INFO,
     "call-ended",
     "call" to call.id,
@@ -41,8 +46,8 @@
     "target" to end.target,
     "arrivals" to end.arrivals,
     "configuration" to end.configuration,
-    "sentMs" to times.sentAt?.let { it - times.arrivedAt },
-    "headMs" to times.begunAt?.let { it - times.arrivedAt },
-    "ms" to times.endedAt - times.arrivedAt,
+    "sentMs" to times.sentMs,
+    "headMs" to times.headMs,
+    "ms" to times.ms,
     "outcome" to outcome,
 ) { outcome }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -517,7 +517,7 @@
         val times = CallTimes(arrivedAt, sentAt, begunAt, now)
         val ended =
             CallEnd(route.name, admitted.workspace?.name, attempt?.target?.id ?: waitingFor, arrivals, serving.configuration?.version)
-        log.callEnded(call, ended, times, outcome)
+        logCallEnd(log, call, ended, times, outcome)
     }
 
     private companion object {
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
@@ -191,7 +191,7 @@
     ) {
         if (isClosing) return
         if (serving.lines.take(serving.scheduler.now())) {
-            log.event(Level.INFO, "request-rejected", "caller" to "${ctx.channel().remoteAddress()}", "status" to status) { detail }
+            log.event(Level.INFO, "request-rejected", "caller" to ctx.channel().remoteAddress(), "status" to status) { detail }
         }
         isClosing = true
         dropRequest()
@@ -244,7 +244,7 @@
         ctx: ChannelHandlerContext,
         cause: Throwable,
     ) {
-        log.debug { "connection of ${ctx.channel().remoteAddress()} failed: ${cause.message}" }
+        log.event(Level.DEBUG, "caller-connection-failed", "caller" to ctx.channel().remoteAddress()) { cause.message ?: "failed" }
         ctx.close()
     }
 
