--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterBook.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterBook.kt
@@ -114,14 +114,6 @@
         return true
     }
 
-    /** Notes that [adapter] is in use. */
-    fun used(
-        adapter: AdapterVersion,
-        now: Long,
-    ) {
-        places[adapter]?.usedAt = now
-    }
-
     /** Replaces what is believed by a [report]. */
     fun report(
         report: TargetReport,
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/GatewaySettings.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/GatewaySettings.kt
@@ -23,12 +23,8 @@
     val drainMs: Long,
     /** Time between the request to stop and the kill. */
     val graceMs: Long,
-    /** A configuration is in force this long after the store has accepted it. */
-    val configApplyMs: Long,
     /** A withdrawn key works at most this long. */
     val revokeMs: Long,
-    /** A new adapter version is in use this long after the store has accepted it. */
-    val versionMs: Long,
     /** Two holders never order one target within this time. */
     val leaseMs: Long,
     /** Repeated arrivals at targets are at most this share of requests, plus [retrySlack], in each [retryWindowMs]. */
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerBoard.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerBoard.kt
@@ -38,9 +38,6 @@
     /** Returns when [name] was last heard, or null. */
     fun heardAtOrNull(name: String): Long? = heard[name]?.at
 
-    /** Returns the last state of [name]. */
-    fun stateOrNull(name: String): GatewayState? = heard[name]?.state
-
     /** Returns the last states of all peers. */
     fun states(): Collection<GatewayState> = heard.values.map { it.state }
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetConnection.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetConnection.kt
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.DefaultHttpRequest
 import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
@@ -186,5 +185,3 @@
 
 /** Makes a body part for a caller from [data], which stays the property of its owner. */
 internal fun partOf(data: ByteBuf): HttpContent = DefaultHttpContent(data.retainedDuplicate())
-
-internal val closeHeader = HttpHeaderNames.CONNECTION
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetPool.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetPool.kt
@@ -40,9 +40,6 @@
 
     private val addresses = HashMap<InetSocketAddress, Address>()
 
-    /** Returns how many connections to [address] are open. */
-    fun open(address: InetSocketAddress): Int = addresses[address]?.open ?: 0
-
     /** Returns whether an idle connection or room for a new one below [limit] exists. */
     fun hasRoom(
         address: InetSocketAddress,
