Never tell an adapter to leave before its use can be known; wait for its runs with one order

Cause, from a log line for each order (new event order-ended): adapters that had just been loaded are the least popular ones and were told to leave 0.1 s later, while other instances' calls already used them but had not told so yet (states come every 250 ms). The target then answers 202 and refuses every other order with a conflict until those runs end; each conflict cost a report of 0.35 s. 170 of 1,753 orders to leave were of this kind. Change: an adapter can't leave within 0.4 s of its load or of a use that callers' instances tell at once, unless a wish waits for over 0.2 s; while an order to leave waits for runs only that order is repeated. A place could also be lost for good after such an order; it isn't any more.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterBook.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterBook.kt
@@ -63,6 +63,9 @@
     ) {
         /** Time from which the adapter may be told to leave; it isn't offered to calls any more. */
         var leaveAt: Long? = null
+
+        /** The order to leave was taken and waits for the adapter's runs; the target takes no other order meanwhile. */
+        var isUnloading = false
         var checks = 0
     }
 
@@ -89,29 +92,29 @@
     val needsReport: Boolean get() = orders == null
 
     /** Returns when the next order is due without a new wish, or null. */
-    val nextDueAt: Long? get() = modelCheckAt ?: places.values.mapNotNull { it.readyAt ?: it.leaveAt }.minOrNull()
+    val nextDueAt: Long?
+        get() = modelCheckAt ?: unloadingOrNull()?.value?.leaveAt ?: places.values.mapNotNull { it.readyAt ?: it.leaveAt }.minOrNull()
     val isModelUnderWay: Boolean get() = modelCheckAt != null
-    val hasWishes: Boolean get() = wishes.isNotEmpty()
+    val wishCount: Int get() = wishes.size
+    val freePlaces: Int get() = capacity - places.size
 
     /** Returns all adapters with their phases. */
     fun phases(): Map<AdapterVersion, AdapterPhase> = places
         .filterValues { it.leaveAt == null }
         .mapValues { (_, place) -> place.readyAt?.let { AdapterPhase.Loading(it) } ?: AdapterPhase.Present }
 
-    /** Notes that a call waits for [adapter]. Returns false when it is there already. */
+    /** Notes that a call waits for [adapter] or begins to use it. */
     fun wish(
         adapter: AdapterVersion,
         now: Long,
-    ): Boolean {
+    ) {
         val place = places[adapter]
-        if (place != null) {
-            place.usedAt = now
-            // The order to leave wasn't sent yet.
-            if (place.leaveAt != Long.MAX_VALUE) place.leaveAt = null
-            return place.readyAt != null
+        if (place == null) {
+            wishes.getOrPut(adapter) { Wish(now, now) }.until = now + WISH_MS
+            return
         }
-        wishes.getOrPut(adapter) { Wish(now, now) }.until = now + WISH_MS
-        return true
+        place.usedAt = now
+        if (!place.isUnloading) place.leaveAt = null
     }
 
     /** Replaces what is believed by a [report]. */
@@ -124,12 +127,17 @@
         modelCheckAt = if (report.isBusy) now + MODEL_CHECK_MS else null
         modelChecks = 0
         places.keys.retainAll(report.present + report.loading)
-        report.present.forEach { places.getOrPut(it) { Place(null, now) }.readyAt = null }
+        report.present.forEach { adapter ->
+            val place = places.getOrPut(adapter) { Place(null, now) }
+            place.readyAt = null
+            // An order to leave that was lost is given again.
+            place.isUnloading = false
+        }
         report.loading.forEach { places.getOrPut(it) { Place(now + COLD_LOAD_MS, now) } }
     }
 
-    /** Forgets what is believed, because the target restarted or its number of orders isn't known. */
-    fun doubt() {
+    /** Asks for a report, because the target's number of orders isn't known. */
+    private fun doubt() {
         orders = null
     }
 
@@ -146,6 +154,7 @@
         if (orders == null) return null
         wishes.values.removeIf { it.until < now }
         if (model != null && model !in models) return TargetOrder.LoadModel(model).takeIf { now >= (modelCheckAt ?: now) }
+        unloadingOrNull()?.let { (adapter, place) -> return AdapterOrder.Unload(adapter).takeIf { now >= (place.leaveAt ?: now) } }
         dueCheckOrNull(now, isCurrent)?.let { return it }
         if (orders == null) return null
         dueUnloadOrNull(now, inUse)?.let { return it }
@@ -155,6 +164,8 @@
         return AdapterOrder.Load(wanted)
     }
 
+    private fun unloadingOrNull() = places.entries.firstOrNull { it.value.isUnloading }
+
     private fun dueCheckOrNull(
         now: Long,
         isCurrent: (AdapterVersion) -> Boolean,
@@ -195,7 +206,16 @@
         isCurrent: (AdapterVersion) -> Boolean,
         waitingSince: Long,
     ): AdapterVersion? {
-        val idle = places.filter { it.value.readyAt == null && it.value.leaveAt == null && it.key !in wishes && !inUse(it.key) }
+        // With every place in steady use, an adapter that nobody else asks for would otherwise never be loaded.
+        val unknownMs = if (now - waitingSince < LONG_WAIT_MS) USE_UNKNOWN_MS else 0
+        val idle =
+            places.filter { (adapter, place) ->
+                place.readyAt == null &&
+                    place.leaveAt == null &&
+                    now - place.usedAt >= unknownMs &&
+                    adapter !in wishes &&
+                    !inUse(adapter)
+            }
         val handles =
             idle.map { (adapter, place) ->
                 IdleHandle("$adapter", isCurrent(adapter), popularity.rate("$adapter", now), place.usedAt)
@@ -269,9 +289,12 @@
             }
 
             is AdapterOrder.Unload -> {
-                // Runs still hold it, so its place is free only once a report doesn't show it any more.
-                places[order.adapter]?.leaveAt = Long.MAX_VALUE
-                doubt()
+                val place = places[order.adapter] ?: return doubt()
+                if (place.isUnloading) return askAgain(place, now)
+                orders = orders?.plus(1)
+                place.isUnloading = true
+                place.checks = 0
+                place.leaveAt = now + CHECK_AGAIN_MS
             }
 
             is AdapterOrder.Check -> {
@@ -285,11 +308,14 @@
         now: Long,
     ) {
         if (order is AdapterOrder.Unload) {
-            orders = orders?.plus(1)
-            return remove(order.adapter)
+            val place = places.remove(order.adapter)
+            if (place?.isUnloading != true) orders = orders?.plus(1)
+            return
         }
         wishes.remove(order.adapter)
-        places.getOrPut(order.adapter) { Place(null, now) }.readyAt = null
+        val place = places.getOrPut(order.adapter) { Place(null, now) }
+        place.readyAt = null
+        place.usedAt = now
         atHand.remove(order.adapter)
         atHand.add(order.adapter)
         if (atHand.size > KEPT_AT_HAND) atHand.remove(atHand.first())
@@ -301,7 +327,19 @@
         now: Long,
     ) {
         val place = places[order.adapter]
-        if (order is AdapterOrder.Check && place != null && place.checks++ < MOST_CHECKS) postpone(order, now) else doubt()
+        when {
+            place != null && place.isUnloading -> askAgain(place, now)
+            order is AdapterOrder.Check && place != null && place.checks++ < MOST_CHECKS -> postpone(order, now)
+            else -> doubt()
+        }
+    }
+
+    /** Repeats an order to leave until the adapter's runs have ended. */
+    private fun askAgain(
+        place: Place,
+        now: Long,
+    ) {
+        if (place.checks++ < MOST_UNLOAD_CHECKS) place.leaveAt = now + CHECK_AGAIN_MS else doubt()
     }
 
     private fun rejected(order: AdapterOrder) {
@@ -326,15 +364,20 @@
         places[order.adapter]?.readyAt = now + CHECK_AGAIN_MS
     }
 
-    private fun remove(adapter: AdapterVersion) {
-        places.remove(adapter)
-    }
-
     private companion object {
         /** Time after which a load that hasn't ended is asked for again, in milliseconds. */
         const val CHECK_AGAIN_MS = 40L
         const val MOST_CHECKS = 5
 
+        /** Runs end within seconds; after this many questions a report has to tell. */
+        const val MOST_UNLOAD_CHECKS = 100
+
+        /** Other instances tell within this time that calls of theirs use an adapter, in milliseconds. */
+        const val USE_UNKNOWN_MS = 400L
+
+        /** A wish that waits longer takes the place of an adapter whose use may not be known yet, in milliseconds. */
+        const val LONG_WAIT_MS = 200L
+
         /** A base model takes seconds to load; its end is asked for this often, in milliseconds, and this many times. */
         const val MODEL_CHECK_MS = 250L
         const val MOST_MODEL_CHECKS = 60
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterHolder.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterHolder.kt
@@ -131,17 +131,17 @@
         if (next == null) return sleep(known, now)
         val stamp = OrderStamp(name, token, checkNotNull(known.book.orders))
         orders.order(known.target.entry, next, stamp) { outcome ->
-            if (outcome != OrderOutcome.Accepted && outcome != OrderOutcome.Done) {
-                log.event(
-                    Level.INFO,
-                    "order-not-taken",
-                    "target" to known.target.id,
-                    "order" to "$next",
-                    "expected" to stamp.expected,
-                    "token" to token,
-                    "outcome" to "$outcome",
-                ) { "order to ${known.target.id} not taken" }
-            }
+            log.event(
+                Level.INFO,
+                "order-ended",
+                "target" to known.target.id,
+                "order" to "$next",
+                "expected" to stamp.expected,
+                "token" to token,
+                "outcome" to "$outcome",
+                "wishes" to known.book.wishCount,
+                "freePlaces" to known.book.freePlaces,
+            ) { "order ended" }
             known.book.answered(next, outcome, scheduler.now())
             if (known.book.needsReport) doubted(known) else known.doubtfulSince = null
             publish(known)
@@ -205,7 +205,7 @@
         when {
             known.book.needsReport -> wake(known, REPORT_DELAY_MS)
             dueAt != null -> wake(known, (dueAt - now).coerceIn(1, IDLE_LOOK_MS))
-            known.book.hasWishes || fleet.missingModelOrNull(known.target, known.book.models) != null -> wake(known, IDLE_LOOK_MS)
+            known.book.wishCount > 0 || fleet.missingModelOrNull(known.target, known.book.models) != null -> wake(known, IDLE_LOOK_MS)
         }
     }
 
