Avoid and probe silent targets; hold a call shortly while no target can take it

Weakness 1: a target that crashed behind a dead link got every call for its adapters until its entry lapsed 3.6 s later. Cause: only closed connections counted as failures. Change: a target with calls on it that sends nothing for 0.4 s gets no more calls and is probed until anything is heard; repeatable calls move away when a probe stays unanswered; an answer that misses twice its target latency counts against the target. Ruled out: believing health answers, which may be wrong either way: any answer at all ends the suspicion. Change: a call that no target can take waits for half of its target latency before it is refused. Tests: TargetSpec (a silent target, and one that is heard now and then).

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterPlacement.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterPlacement.kt
@@ -9,7 +9,6 @@
 import io.skylarkstile.gateway.model.AdapterName
 import io.skylarkstile.gateway.model.AdapterVersion
 import io.skylarkstile.gateway.target.AdapterPhase
-import io.skylarkstile.gateway.target.FULL_LOAD
 import io.skylarkstile.gateway.target.TargetChoice
 import io.skylarkstile.gateway.target.TargetState
 
@@ -50,8 +49,7 @@
         candidates: List<TargetState>,
         tried: Set<String>,
     ): Placement {
-        val usable = candidates.filter { it.id !in tried && it.load < FULL_LOAD }
-        val open = usable.filter { !it.health.isPaused(now) }.ifEmpty { usable }
+        val open = choice.usable(now, candidates, tried)
         if (open.isEmpty()) return Placement.None
         val holders = open.filter { it.adapters[adapter] == AdapterPhase.Present }
         val best = holders.minByOrNull { choice.delayMs(now, it) }
@@ -94,7 +92,7 @@
         now: Long,
         adapter: AdapterVersion,
         target: TargetState,
-    ): Boolean = target.isOrderable(now) && !target.health.isPaused(now) && target.adapters.keys.none { it.name == adapter.name }
+    ): Boolean = target.isOrderable(now) && !target.isAvoided(now) && target.adapters.keys.none { it.name == adapter.name }
 
     private fun ordered(
         adapter: AdapterName,
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/TargetOrders.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/TargetOrders.kt
@@ -3,6 +3,7 @@
  */
 package io.skylarkstile.gateway.adapter
 
+import io.skylarkstile.gateway.model.Service
 import io.skylarkstile.gateway.model.TargetEntry
 
 /** Who gives an order, and after how many accepted ones it may be carried out, so that a late one is refused. */
@@ -12,7 +13,7 @@
     val expected: Long,
 )
 
-/** Sends orders and asks for reports; outcomes are handed to `done` on the event loop. */
+/** Sends orders, reports and probes; outcomes are handed to `done` on the event loop. */
 interface TargetOrders {
     fun order(
         target: TargetEntry,
@@ -21,6 +22,13 @@
         done: (OrderOutcome) -> Unit,
     )
 
+    /** Asks [target], which runs [service], for any answer; false when none comes soon. */
+    fun probe(
+        target: TargetEntry,
+        service: Service,
+        done: (Boolean) -> Unit,
+    )
+
     /** Asks what [target] holds; null when it doesn't answer. */
     fun report(
         target: TargetEntry,
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -46,6 +46,7 @@
 import io.skylarkstile.gateway.store.SharedStore
 import io.skylarkstile.gateway.store.StoreKind
 import io.skylarkstile.gateway.target.TargetChoice
+import io.skylarkstile.gateway.target.TargetProbes
 import io.skylarkstile.gateway.target.TargetState
 import io.skylarkstile.gateway.target.TargetTable
 import kotlin.random.Random
@@ -115,6 +116,7 @@
             random::nextDouble,
         )
     private val holder = AdapterHolder(settings.instance, lease, targets, ports.orders, Fleet(), popularity, scheduler, ::ownTargetChanged)
+    private val probes = TargetProbes(targets, ::probe, scheduler::now) { serving.targetDead(it) }
     private val membership =
         Membership(self, ports.store, scheduler, lease, { targets.all.map { it.id } }, exchange.board::heardAtOrNull, exchange::apply)
     private val suspension = SuspensionDetector(scheduler.now(), System.currentTimeMillis())
@@ -274,6 +276,7 @@
             lease.forget(now)
         }
         exchange.tick()
+        probes.tick(now)
         if (++ticks % SLOW_TICKS == 0) slowTick(now)
         scheduler.after(TICK_MS, ::tick)
     }
@@ -289,6 +292,14 @@
         if (omitted > 0) log.event(Level.INFO, "lines-omitted", "lines" to omitted) { "lines about calls were left out" }
     }
 
+    private fun probe(
+        target: TargetState,
+        done: (Boolean) -> Unit,
+    ) {
+        val service = serving.configuration?.services?.get(target.entry.service) ?: return done(false)
+        ports.orders.probe(target.entry, service, done)
+    }
+
     private fun ownTargetChanged(target: TargetState) {
         serving.adaptersChanged(target.id)
         exchange.changed()
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/Configuration.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/Configuration.kt
@@ -65,6 +65,8 @@
     val name: String,
     val maxConnections: Int,
     val engine: Engine?,
+    /** Path on which a target says whether it is healthy; null where it has none. */
+    val healthPath: String? = null,
 )
 
 /** Describes the engine of a service's targets. */
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -49,13 +49,17 @@
 /** A load takes a quarter of a second and a few times that under load; after this time another target is tried, in milliseconds. */
 private const val LONGEST_WAIT_MS = 1_000L
 
+/** Part of its target latency that a call waits for any target to take it, and how often it looks meanwhile, in milliseconds. */
+private const val HOLD_SHARE = 0.5
+private const val HOLD_LOOK_MS = 25L
+
 /** Callers return after this time when all targets are full or gone, in milliseconds. */
 private const val FULL_RETRY_MS = 300L
 
 /** Callers go to another instance after this time when this one leaves, in milliseconds. */
 internal const val MOVED_RETRY_MS = 20L
 
-/** A repeatable call tries another target after this multiple of its target latency without an answer. */
+/** An answer counts as missing after this multiple of its route's target latency; a repeatable call then tries another target. */
 private const val SILENCE_LATENCIES = 2.0
 
 /** Runs one call; all functions are called on the event loop. */
@@ -93,8 +97,9 @@
 
     private var waitingFor: String? = null
     private var waitingSince = 0L
+    private var isWaiting = false
 
-    /** Id of the target on which this call waits for an adapter. */
+    /** Id of the target on which this call waits for an adapter; null while it waits for any target. */
     var awaitsTarget: String? = null
         private set
 
@@ -105,6 +110,7 @@
     ) {
         var connection: TargetConnection? = null
         var isOver = false
+        var isSent = false
         var head: AnswerHead? = null
 
         /** What the target still counts for this attempt. */
@@ -121,7 +127,7 @@
 
     /** Looks for a target again because adapters have changed. */
     fun lookAgain() {
-        if (awaitsTarget != null && !isEnded) choose()
+        if (isWaiting && !isEnded) choose()
     }
 
     /** Ends the call because its caller has left. */
@@ -136,6 +142,12 @@
         if (!isEnded) giveUp("instance-stops", MOVED_RETRY_MS)
     }
 
+    /** Moves the call to another target where it may run again, because [target] doesn't answer. */
+    fun targetDead(target: TargetState) {
+        val running = attempt?.takeIf { it.target === target && it.isSent && !it.isOver } ?: return
+        if (route.isRepeatable && mayRepeat()) failed(running, "target went silent")
+    }
+
     /** Continues reading the answer once the caller has taken what was passed on. */
     fun callerWritable(isWritable: Boolean) {
         if (mode == Mode.PassOn) attempt?.connection?.setReading(isWritable)
@@ -152,7 +164,7 @@
             }
         val adapter = call.adapter?.let(serving::current)
         if (adapter == null) {
-            val target = serving.choice.chooseOrNull(now, candidates, tried) ?: return giveUp("no-target-free", FULL_RETRY_MS)
+            val target = serving.choice.chooseOrNull(now, candidates, tried) ?: return hold(now)
             return send(target, null)
         }
         when (val placement = serving.placement.place(now, adapter, candidates, tried)) {
@@ -166,7 +178,7 @@
             }
 
             Placement.None -> {
-                giveUp("no-target-free", FULL_RETRY_MS)
+                hold(now)
             }
         }
     }
@@ -187,14 +199,32 @@
             tried.add(target.id)
             return choose()
         }
-        awaitsTarget = target.id
-        serving.await(this)
-        waitTimer = serving.scheduler.after(REPEAT_WISH_MS) { lookAgain() }
+        waitFor(target.id, REPEAT_WISH_MS)
         serving.demand.wish(target, adapter)
     }
 
+    /**
+     * Waits for any target, for a part of the time in which the answer is wanted: after a restart it takes some 0.1 s until the instances
+     * know what the targets hold, and a caller that is refused may not come back more than once.
+     */
+    private fun hold(now: Long) {
+        if (now - arrivedAt >= route.targetLatencyMs * HOLD_SHARE) return giveUp("no-target-free", FULL_RETRY_MS)
+        waitFor(null, HOLD_LOOK_MS)
+    }
+
+    private fun waitFor(
+        target: String?,
+        lookAgainMs: Long,
+    ) {
+        isWaiting = true
+        awaitsTarget = target
+        serving.await(this)
+        waitTimer = serving.scheduler.after(lookAgainMs) { lookAgain() }
+    }
+
     private fun stopWaiting() {
-        if (awaitsTarget == null) return
+        if (!isWaiting) return
+        isWaiting = false
         awaitsTarget = null
         waitTimer?.cancel()
         serving.stopAwaiting(this)
@@ -208,6 +238,8 @@
         if (arrivals > 0 && (arrivals >= MOST_ARRIVALS || !serving.allowance(service).tryRepeat(now, serving.instances))) {
             return giveUp("retry-allowance-used", FULL_RETRY_MS)
         }
+        // The holder hears of the use at once, since an adapter that is told to leave while calls use it blocks the target's orders.
+        if (adapter != null && adapter !in target.adapterCalls) serving.demand.wish(target, adapter)
         val started = Attempt(target, adapter, now)
         attempt = started
         started.weight = weight
@@ -235,6 +267,8 @@
         }
         sentAt = now
         started.connection = connection
+        started.isSent = true
+        started.target.silence.sent(now)
         arrivals++
         runs++
         mayHaveRun = true
@@ -257,17 +291,15 @@
         watchSilence(started)
     }
 
-    /** A repeatable call doesn't wait for a silent target until its deadline. */
+    /** Counts an answer that doesn't come in time against the target, and moves a repeatable call elsewhere. */
     private fun watchSilence(started: Attempt) {
-        if (!route.isRepeatable || runs >= route.maxAttempts) return
         val patience = max(MIN_SILENCE_MS, (route.targetLatencyMs * SILENCE_LATENCIES).toLong())
-        if (serving.scheduler.now() + patience * 2 > deadlineAt) return
         silenceTimer =
             serving.scheduler.after(patience) {
-                if (attempt === started && !started.isOver && started.head == null && mayRepeat()) {
-                    started.target.health.failed(serving.scheduler.now())
-                    failed(started, "silent for $patience ms")
-                }
+                val now = serving.scheduler.now()
+                if (attempt !== started || started.isOver || started.head != null) return@after
+                started.target.health.failed(now)
+                if (route.isRepeatable && now + patience <= deadlineAt && mayRepeat()) failed(started, "silent for $patience ms")
             }
     }
 
@@ -277,6 +309,7 @@
     ) {
         val running = attempt ?: return
         silenceTimer?.cancel()
+        running.target.heard(serving.scheduler.now())
         running.head = head
         running.target.read(running.weight.unreadTokens)
         running.weight = running.weight.copy(unreadTokens = 0)
@@ -313,6 +346,7 @@
     private fun answerHeaders(response: HttpResponse): HttpHeaders = passedOn(response.headers(), setOf("content-length"))
 
     override fun content(data: ByteBuf) {
+        attempt?.let { it.target.heard(serving.scheduler.now()) }
         when (mode) {
             Mode.Gather -> gather(data)
             Mode.PassOn -> passOn(data)
@@ -439,7 +473,7 @@
         val now = serving.scheduler.now()
         if (runs >= route.maxAttempts || serving.allowance(service).left(now, serving.instances) < 1) return false
         val others = serving.targets.ready(service).filter { it.id !in tried && it !== attempt?.target }
-        return others.any { it.load < FULL_LOAD && !it.health.isPaused(now) }
+        return others.any { it.load < FULL_LOAD && !it.isAvoided(now) }
     }
 
     private fun retry(running: Attempt) {
@@ -462,6 +496,7 @@
 
     private fun release(running: Attempt) {
         running.isOver = true
+        if (running.isSent) running.target.silence.ended()
         running.target.end(running.weight, running.adapter)
         running.connection?.setReading(true)
     }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/Serving.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/Serving.kt
@@ -18,7 +18,7 @@
 
 /** Takes note of adapters that calls wait for or use. */
 interface AdapterDemand {
-    /** A call waits for [adapter] on [target]. */
+    /** A call waits for [adapter] on [target], or is sent there first to use it. */
     fun wish(
         target: TargetState,
         adapter: AdapterVersion,
@@ -87,6 +87,11 @@
         running.toList().forEach { it.stop() }
     }
 
+    /** Moves the calls that may be repeated away from a target that doesn't answer. */
+    fun targetDead(target: TargetState) {
+        running.toList().forEach { it.targetDead(target) }
+    }
+
     fun await(run: CallRun) {
         waiting.add(run)
     }
@@ -97,7 +102,7 @@
 
     /** Lets the calls that wait for an adapter on [target] look again. */
     fun adaptersChanged(target: String) {
-        waiting.filter { it.awaitsTarget == target }.forEach { it.lookAgain() }
+        waiting.filter { it.awaitsTarget == null || it.awaitsTarget == target }.forEach { it.lookAgain() }
     }
 
     /** Returns the number of calls that wait for an adapter. */
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetChoice.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetChoice.kt
@@ -35,10 +35,16 @@
         now: Long,
         candidates: List<TargetState>,
         tried: Set<String>,
-    ): TargetState? {
+    ): TargetState? = usable(now, candidates, tried).minByOrNull { delayMs(now, it) }
+
+    /** Returns those of [candidates] that take a call: with room, not in [tried], and not silent unless all of them are. */
+    fun usable(
+        now: Long,
+        candidates: List<TargetState>,
+        tried: Set<String>,
+    ): List<TargetState> {
         val open = candidates.filter { it.id !in tried && it.load < FULL_LOAD }
-        val calm = open.filter { !it.health.isPaused(now) }
-        return calm.ifEmpty { open }.minByOrNull { delayMs(now, it) }
+        return open.filter { !it.isAvoided(now) }.ifEmpty { open }
     }
 
     /** Returns the delay of [target] in milliseconds as this instance weighs it. */
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetState.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetState.kt
@@ -21,6 +21,7 @@
     var entry: TargetEntry,
 ) {
     val health = TargetHealth()
+    val silence = TargetSilence()
 
     /** Calls of this instance that are on the target. */
     var ownWeight = CallWeight.NONE
@@ -44,6 +45,15 @@
 
     fun isOrderable(now: Long): Boolean = now < orderableUntil
 
+    /** Returns whether calls should go elsewhere because the target seems to be gone. */
+    fun isAvoided(now: Long): Boolean = health.isSuspect || silence.isSilent(now)
+
+    /** Notes any bytes from the target. */
+    fun heard(now: Long) {
+        silence.heard(now)
+        health.heard()
+    }
+
     val id: String get() = entry.id
     val weight: CallWeight get() = ownWeight + peerWeight
 
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/adapter/AdapterHolderSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/adapter/AdapterHolderSpec.kt
@@ -18,6 +18,7 @@
 import io.skylarkstile.gateway.membership.OrderLease
 import io.skylarkstile.gateway.model.AdapterName
 import io.skylarkstile.gateway.model.AdapterVersion
+import io.skylarkstile.gateway.model.Service
 import io.skylarkstile.gateway.model.TargetEntry
 import io.skylarkstile.gateway.target.TargetState
 import io.skylarkstile.gateway.target.TargetTable
@@ -34,6 +35,12 @@
     private val present = HashMap<String, HashSet<AdapterVersion>>()
     private val taken = HashMap<String, Long>()
 
+    override fun probe(
+        target: TargetEntry,
+        service: Service,
+        done: (Boolean) -> Unit,
+    ) = done(true)
+
     override fun order(
         target: TargetEntry,
         order: TargetOrder,
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/target/TargetSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/target/TargetSpec.kt
@@ -6,10 +6,12 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.shouldNotBe
 import io.kotest.matchers.types.shouldBeSameInstanceAs
 import io.kotest.matchers.types.shouldNotBeSameInstanceAs
+import io.skylarkstile.gateway.ManualScheduler
 import io.skylarkstile.gateway.entry
 import io.skylarkstile.gateway.target
 
@@ -64,4 +66,46 @@
             choice.chooseOrNull(0, listOf(dark), emptySet())?.id shouldBe "dark"
             choice.chooseOrNull(2_000, listOf(dark), emptySet()) shouldNotBe null
         }
+
+        // A target that crashed behind a dead link got all calls for its adapters until its entry lapsed, 3.6 s later.
+        test("a target that sends nothing while calls are on it gets no further call until it answers a probe") {
+            val scheduler = ManualScheduler()
+            val table = TargetTable()
+            val dark = table.put(entry("dark"))
+            val other = table.put(entry("other")).apply { repeat(5) { begin(CallWeight(1, 0, 0), null) } }
+            var answers = false
+            var probed = 0
+            var moved = 0
+            val probes = TargetProbes(table, { _, done -> done(answers).also { probed++ } }, scheduler::now) { moved++ }
+
+            fun chosen() = choice.chooseOrNull(scheduler.now(), table.ready("models"), emptySet())
+
+            dark.silence.sent(scheduler.now())
+            scheduler.advance(SILENCE_MS - 1)
+            chosen() shouldBe dark
+            scheduler.advance(1)
+            chosen() shouldBe other
+            repeat(20) { probes.tick(scheduler.now()).also { scheduler.advance(50) } }
+            moved shouldBe probed
+            probed shouldBeLessThan 5
+            // Its last call ended without an answer; that is no sign of life.
+            dark.silence.ended()
+            chosen() shouldBe other
+            answers = true
+            scheduler.advance(2_000)
+            probes.tick(scheduler.now())
+            chosen() shouldBe dark
+        }
+
+        test("a target with calls that is heard now and then isn't suspected, nor one without calls") {
+            val target = target("a")
+            target.isAvoided(10_000) shouldBe false
+            target.silence.sent(10_000)
+            target.heard(10_300)
+            target.isAvoided(10_600) shouldBe false
+            target.silence.ended()
+            target.isAvoided(20_000) shouldBe false
+            target.silence.sent(20_000)
+            target.isAvoided(20_300) shouldBe false
+        }
     })
