Go on with orders at once after an outage in which no change of the instances was missed

Cause: a confirmation older than 7 s restarted all waits, because another instance might have joined, held orders and left unseen. But a watch that goes on from its revision shows every change, so only a new list (history gone) can have missed one. Ruled out: a longer confirmation (it would make each change of the instances cost as much more). Change: Membership applies the changes of a page one by one, so that an instance that came and went in between costs its targets their wait; only a list after a gap restarts all waits. After a suspension, answers to questions asked before it confirm nothing (Freshness), which also holds for keys; the wait of 7.3 s after it was only needed because they did.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -272,7 +272,7 @@
         val now = scheduler.now()
         if (suspension.check(now, System.currentTimeMillis())) {
             log.event(Level.WARN, "clocks-apart") { "this process stood still or the time of day jumped" }
-            keyFreshness.forget()
+            keyFreshness.forget(now)
             lease.forget(now)
         }
         exchange.tick()
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/StoreListeners.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/StoreListeners.kt
@@ -24,7 +24,7 @@
 /** Hands newer configurations to [apply], never an older one after a newer one. */
 internal class ConfigurationListener(
     private val records: RecordDecoder,
-    private val confirm: (Long) -> Unit,
+    private val confirm: (at: Long, askedAt: Long) -> Unit,
     private val apply: (Configuration, Long) -> Unit,
 ) : KindListener {
     private var revision = -1L
@@ -43,8 +43,9 @@
 
     override fun confirmed(
         at: Long,
+        askedAt: Long,
         revision: Long,
-    ) = confirm(at)
+    ) = confirm(at, askedAt)
 
     private fun read(
         item: StoredObject,
@@ -94,6 +95,7 @@
 
     override fun confirmed(
         at: Long,
+        askedAt: Long,
         revision: Long,
     ) = Unit
 
@@ -140,6 +142,7 @@
 
     override fun confirmed(
         at: Long,
+        askedAt: Long,
         revision: Long,
     ) = Unit
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/Membership.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/Membership.kt
@@ -57,6 +57,7 @@
         now: Long,
         afterOutage: Boolean,
     ) {
+        if (isListed) lease.missedChanges(now)
         val before = known.toMap()
         known.clear()
         page.objects.forEach { put(it, now, before[it.name]) }
@@ -69,14 +70,22 @@
         now: Long,
         afterOutage: Boolean,
     ) {
-        page.objects.forEach { if (it.spec == null) known.remove(it.name) else put(it, now, known[it.name]) }
-        apply(page.revision, emptySet(), now)
+        // One by one: an instance that joined and left between two looks may have held orders.
+        page.objects.forEach { item ->
+            if (item.spec != null) {
+                put(item, now, known[item.name])
+            } else if (known.remove(item.name) == null) {
+                lease.missedChanges(now)
+            }
+            apply(page.revision, emptySet(), now)
+        }
     }
 
     override fun confirmed(
         at: Long,
+        askedAt: Long,
         revision: Long,
-    ) = lease.confirm(at, revision)
+    ) = lease.confirm(at, revision, askedAt)
 
     /** Writes the own record where it is missing or old, and removes lost instances. Called regularly. */
     fun tend() {
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/OrderLease.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/OrderLease.kt
@@ -34,28 +34,31 @@
     /** Set while the tokens may be lower than those of an instance that held orders unseen. */
     private var hasOldTokens = false
 
-    /**
-     * Notes that the store showed the known set at time [at], as of [revision]. After a gap in which another instance could have joined,
-     * held orders and left unseen, all waits start anew and tokens rise above whatever that one had.
-     */
+    /** Notes that the store showed the known set at time [at], as of [revision]; the store was asked at [askedAt]. */
     fun confirm(
         at: Long,
         revision: Long,
+        askedAt: Long = at,
     ) {
-        val age = freshness.ageOrNull(at)
-        if (age != null && age > CONFIRMATION_MS + leaseMs) restart(at)
         if (hasOldTokens) holdings.replaceAll { _, holding -> Holding(holding.since, revision) }
         if (hasOldTokens) changedRevision = revision
         hasOldTokens = false
-        freshness.confirm(at)
+        freshness.confirm(at, askedAt)
     }
 
-    /** Forgets the confirmations, because this process stood still for an unknown time. */
-    fun forget(now: Long) {
-        freshness.forget()
-        restart(now)
+    /**
+     * Notes that changes of the set may have gone unseen before [now]. After a gap in which another instance could have joined, held orders
+     * and left, all waits start anew and tokens rise above whatever that one had. A watch that goes on after an outage shows every change,
+     * so then nothing is missed.
+     */
+    fun missedChanges(now: Long) {
+        val age = freshness.ageOrNull(now)
+        if (age == null || age > CONFIRMATION_MS + leaseMs) restart(now)
     }
 
+    /** Forgets the confirmations, because this process stood still for an unknown time. */
+    fun forget(now: Long) = freshness.forget(now)
+
     /**
      * Applies the [set] that the store showed at [revision]. [resumed] holds the targets that the last process of this instance was
      * entitled to order, as its record says: the record outlived it, so nobody else can have become their holder.
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/KindWatch.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/KindWatch.kt
@@ -30,9 +30,10 @@
         afterOutage: Boolean,
     )
 
-    /** Notes that the view was current at time [at], with the store at [revision]. */
+    /** Notes that the view was current at time [at], with the store at [revision], as the answer to a question of [askedAt] says. */
     fun confirmed(
         at: Long,
+        askedAt: Long,
         revision: Long,
     )
 }
@@ -83,7 +84,7 @@
         recovered(now)
         revision = result.value.revision
         listener.listed(result.value, now, isAfterOutage(now))
-        listener.confirmed(sentAt, result.value.revision)
+        listener.confirmed(sentAt, sentAt, result.value.revision)
         next()
     }
 
@@ -98,11 +99,11 @@
         revision = maxOf(revision ?: 0, page.revision)
         if (page.objects.isEmpty()) {
             // Without a change the store answers only after the whole wait, so the view was current at least until then.
-            listener.confirmed(maxOf(sentAt, minOf(now, sentAt + waitMs)), page.revision)
+            listener.confirmed(maxOf(sentAt, minOf(now, sentAt + waitMs)), sentAt, page.revision)
             return next()
         }
         listener.changed(page, now, isAfterOutage(now))
-        listener.confirmed(sentAt, result.value.revision)
+        listener.confirmed(sentAt, sentAt, result.value.revision)
         if (pauseMs > 0) scheduler.after(pauseMs) { next() } else next()
     }
 
--- /dev/null
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/membership/MembershipSpec.kt
@@ -0,0 +1,114 @@
+/*
+ * Guards against orders of two holders when the set of instances changes while this instance can't see the store.
+ */
+package io.skylarkstile.gateway.membership
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.skylarkstile.gateway.ManualScheduler
+import io.skylarkstile.gateway.store.SharedStore
+import io.skylarkstile.gateway.store.StoreKind
+import io.skylarkstile.gateway.store.StorePage
+import io.skylarkstile.gateway.store.StoreResult
+import io.skylarkstile.gateway.store.StoredObject
+import io.skylarkstile.schema.generated.GatewayInstance
+import io.skylarkstile.schema.recordJson
+import java.net.InetSocketAddress
+
+/** Takes writes and never answers. */
+private object SilentStore : SharedStore {
+    override fun list(
+        kind: StoreKind,
+        done: (StoreResult<StorePage>) -> Unit,
+    ) = Unit
+
+    override fun watch(
+        kind: StoreKind,
+        revision: Long,
+        waitMs: Long,
+        done: (StoreResult<StorePage>) -> Unit,
+    ) = Unit
+
+    override fun create(
+        kind: StoreKind,
+        name: String,
+        spec: String,
+        done: (StoreResult<StoredObject>) -> Unit,
+    ) = Unit
+
+    override fun replace(
+        kind: StoreKind,
+        name: String,
+        spec: String,
+        revision: Long?,
+        done: (StoreResult<StoredObject>) -> Unit,
+    ) = Unit
+
+    override fun remove(
+        kind: StoreKind,
+        name: String,
+        revision: Long,
+        done: (StoreResult<Unit>) -> Unit,
+    ) = Unit
+}
+
+private val targets = List(20) { "t-$it" }
+
+private fun stored(
+    name: String,
+    revision: Long,
+) = StoredObject(
+    name,
+    revision,
+    recordJson.encodeToString(GatewayInstance.serializer(), GatewayInstance("dc", "127.0.0.1:1", "127.0.0.1:2", 1, emptyList())),
+)
+
+private class Fixture {
+    val lease = OrderLease("a", 3_000)
+    private val self =
+        InstanceRecord("a", "dc", InetSocketAddress("127.0.0.1", 1), InetSocketAddress("127.0.0.1", 2), 1, emptySet())
+    val membership = Membership(self, SilentStore, ManualScheduler(), lease, { targets }, { null }, {})
+
+    init {
+        membership.listed(StorePage(listOf(stored("a", 3)), 3), 0, afterOutage = false)
+        membership.confirmed(0, 0, 3)
+        membership.confirmed(8_000, 8_000, 3)
+    }
+
+    fun ordered(now: Long) = targets.count { lease.tokenOrNull(it, now) != null }
+}
+
+class MembershipSpec :
+    FunSpec({
+        test("after an outage without a change the instance goes on at once") {
+            val fixture = Fixture()
+            fixture.ordered(20_000) shouldBe 0
+            fixture.membership.changed(StorePage(emptyList(), 3), 20_000, afterOutage = true)
+            fixture.membership.confirmed(20_000, 20_000, 3)
+            fixture.ordered(20_000) shouldBe targets.size
+        }
+
+        test("targets of an instance that joined and left unseen are ordered again only after the wait, and with a higher token") {
+            val fixture = Fixture()
+            val moved = targets.filter { InstanceSet(mapOf("a" to record("a"), "b" to record("b"))).holderOrNull(it) == "b" }
+            fixture.membership.changed(
+                StorePage(listOf(stored("b", 10), StoredObject("b", 11, null)), 11),
+                20_000,
+                afterOutage = true,
+            )
+            fixture.membership.confirmed(20_000, 20_000, 11)
+            fixture.ordered(20_000) shouldBe targets.size - moved.size
+            fixture.membership.confirmed(27_300, 27_300, 11)
+            moved.map { fixture.lease.tokenOrNull(it, 27_300) }.toSet() shouldBe setOf(11L)
+        }
+
+        test("when the history is gone after an outage, all targets wait") {
+            val fixture = Fixture()
+            fixture.membership.listed(StorePage(listOf(stored("a", 3)), 30), 20_000, afterOutage = true)
+            fixture.membership.confirmed(20_000, 20_000, 30)
+            fixture.ordered(20_000) shouldBe 0
+        }
+    })
+
+private fun record(name: String) =
+    InstanceRecord(name, "dc", InetSocketAddress("127.0.0.1", 1), InetSocketAddress("127.0.0.1", 2), 1, emptySet())
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/store/KindWatchSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/store/KindWatchSpec.kt
@@ -77,6 +77,7 @@
 
     override fun confirmed(
         at: Long,
+        askedAt: Long,
         revision: Long,
     ) {
         confirmedAt = at
