--- a/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/admin/MetricsAndEventsPageSpec.kt
+++ b/skylarkstile-entry/src/test/kotlin/io/skylarkstile/entry/admin/MetricsAndEventsPageSpec.kt
@@ -75,7 +75,7 @@
             registerInstanceMetrics(registry, InstanceState({ true }, { 1 }, { 1 }, { dump }))
             rows("## Metrics", 3) shouldContainExactlyInAnyOrder registry.scrape().map { it.row() }
             sources.filterValues { "metrics.core.metrics" in it }.keys.map { File(it).name } shouldContainExactlyInAnyOrder
-                listOf("FrontMetrics.kt", "InstanceMetrics.kt")
+                listOf("FrontMetrics.kt", "InstanceMetrics.kt", "GatewayMetrics.kt")
         }
 
         test("alert rules use metrics of the page, and each alert is explained") {
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterHolder.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterHolder.kt
@@ -62,6 +62,7 @@
     private val fleet: FleetView,
     private val popularity: Popularity,
     private val scheduler: Scheduler,
+    private val onOrder: (OrderOutcome) -> Unit = {},
     private val onChange: (TargetState) -> Unit,
 ) {
     private inner class Held(
@@ -142,6 +143,7 @@
                 "wishes" to known.book.wishCount,
                 "freePlaces" to known.book.freePlaces,
             ) { "order ended" }
+            onOrder(outcome)
             known.book.answered(next, outcome, scheduler.now())
             if (known.book.needsReport) doubted(known) else known.doubtfulSince = null
             publish(known)
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -115,7 +115,18 @@
             exchange,
             random::nextDouble,
         )
-    private val holder = AdapterHolder(settings.instance, lease, targets, ports.orders, Fleet(), popularity, scheduler, ::ownTargetChanged)
+    private val holder =
+        AdapterHolder(
+            settings.instance,
+            lease,
+            targets,
+            ports.orders,
+            Fleet(),
+            popularity,
+            scheduler,
+            { serving.metrics.ordered(it) },
+            ::ownTargetChanged,
+        )
     private val probes = TargetProbes(targets, ::probe, scheduler::now) { serving.targetDead(it) }
     private val membership =
         Membership(self, ports.store, scheduler, lease, { targets.all.map { it.id } }, exchange.board::heardAtOrNull, exchange::apply)
@@ -124,6 +135,14 @@
     private var ticks = 0
     private var listening: Channel? = null
 
+    private inner class Gauges : GatewayGauges {
+        override val runningCalls: Int get() = serving.runningCalls
+        override val waitingCalls: Int get() = serving.waitingCalls
+        override val instances: Int get() = serving.instances
+        override val suspectedTargets: Int get() = scheduler.now().let { now -> targets.all.count { it.isAvoided(now) } }
+        override val configurationAgeMs: Long? get() = keyFreshness.ageOrNull(scheduler.now())
+    }
+
     private inner class Fleet : FleetView {
         override fun isInUse(
             target: TargetState,
@@ -161,6 +180,7 @@
     /** Opens all sockets and begins to follow the store. Called on another thread than the event loop's, since it waits for the sockets. */
     fun start() {
         exchange.holder = holder
+        serving.metrics.register(Gauges())
         socket.bind(loop, settings.peers)
         listening = listen()
         loop.execute(::begin)
@@ -234,6 +254,9 @@
         membership.stop()
     }
 
+    /** Returns all metrics in the Prometheus text form. */
+    fun metrics(): String = serving.metrics.text()
+
     /** Returns the state for a dump. */
     fun dump(): String {
         val now = scheduler.now()
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/GatewaySettings.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/GatewaySettings.kt
@@ -14,6 +14,8 @@
     val directory: InetSocketAddress,
     val peers: InetSocketAddress,
     val store: InetSocketAddress,
+    /** Where operators read metrics and the state dump. */
+    val operators: InetSocketAddress,
     val bounds: Bounds,
 )
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -548,8 +548,9 @@
         now: Long,
         outcome: String,
     ) {
-        if (!serving.lines.take(now)) return
         val times = CallTimes(arrivedAt, sentAt, begunAt, now)
+        serving.metrics.ended(outcome, times.sentMs, times.headMs, times.ms)
+        if (!serving.lines.take(now)) return
         val ended =
             CallEnd(route.name, admitted.workspace?.name, attempt?.target?.id ?: waitingFor, arrivals, serving.configuration?.version)
         logCallEnd(log, call, ended, times, outcome)
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
@@ -166,6 +166,7 @@
         call: CallHead,
         refused: Admission.Refused,
     ) {
+        serving.metrics.refused(refused.reason)
         if (!serving.lines.take(serving.scheduler.now())) return
         log.event(
             Level.INFO,
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/Serving.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/Serving.kt
@@ -5,6 +5,7 @@
 
 import io.skylarkstile.gateway.adapter.AdapterPlacement
 import io.skylarkstile.gateway.admission.CallAdmission
+import io.skylarkstile.gateway.main.GatewayMetrics
 import io.skylarkstile.gateway.main.LineBudget
 import io.skylarkstile.gateway.main.Scheduler
 import io.skylarkstile.gateway.model.AdapterName
@@ -43,6 +44,7 @@
 ) {
     /** Bounds the log lines about single calls. */
     val lines = LineBudget()
+    val metrics = GatewayMetrics()
     private val allowances = HashMap<String, RetryAllowance>()
     private val waiting = LinkedHashSet<CallRun>()
     var bounds: Bounds = bounds
--- /dev/null
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/main/GatewayMetricsPageSpec.kt
@@ -0,0 +1,66 @@
+/*
+ * Compares the table of the gateway's metrics in docs/operating/metrics-and-events.md with the code. Guards against metrics that operators
+ * look up in vain.
+ */
+package io.skylarkstile.gateway.main
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import io.prometheus.metrics.model.snapshots.CounterSnapshot
+import io.prometheus.metrics.model.snapshots.GaugeSnapshot
+import io.prometheus.metrics.model.snapshots.MetricSnapshot
+import io.skylarkstile.gateway.adapter.OrderOutcome
+import java.io.File
+
+private object NoGauges : GatewayGauges {
+    override val runningCalls = 0
+    override val waitingCalls = 0
+    override val instances = 1
+    override val suspectedTargets = 0
+    override val configurationAgeMs: Long? = null
+}
+
+private fun MetricSnapshot.row(): String {
+    val labels =
+        dataPoints
+            .first()
+            .labels
+            .map { it.name }
+            .sorted()
+            .joinToString()
+            .ifEmpty { "-" }
+    return when (this) {
+        is CounterSnapshot -> "${metadata.prometheusName.removeSuffix("_total")}_total counter $labels"
+        is GaugeSnapshot -> "${metadata.prometheusName} gauge $labels"
+        else -> "${metadata.prometheusName} histogram $labels"
+    }
+}
+
+class GatewayMetricsPageSpec :
+    FunSpec({
+        test("the page lists every metric of the gateway with its type and labels, and no other") {
+            val registry = PrometheusRegistry()
+            GatewayMetrics(registry).apply {
+                register(NoGauges)
+                refused("over-rate")
+                ordered(OrderOutcome.Done)
+                ended("served", 1, 2, 3)
+            }
+            val rows =
+                File("../docs/operating/metrics-and-events.md")
+                    .readLines()
+                    .dropWhile { it != "## Metrics of the gateway" }
+                    .drop(1)
+                    .takeWhile { !it.startsWith("## ") }
+                    .filter { it.startsWith("| `") }
+                    .map { row ->
+                        row
+                            .trim('|')
+                            .split('|')
+                            .take(3)
+                            .joinToString(" ") { it.replace("`", "").trim() }
+                    }
+            rows shouldContainExactlyInAnyOrder registry.scrape().map { it.row() }
+        }
+    })
