Let instances that see the store confirm the set of instances for a holder that doesn't

Cause: a holder may order only while it knows the set of instances to be current, and it asked only the store. The cut instances were heard by all others the whole time. Ruled out: handing the targets over (a wait of LeaseMs to hand over and another on return, for cuts of 6 to 12 s); removing the cut instance (11 s); choosing targets with shorter load queues (tried, no gain). Change: a message says how old the sender's view of the set is, its hash, and which message of an instance that asks for it was heard last. The view was current when that one was sent, less the age (SetVouches). No clocks are compared; a delayed message confirms only what is certain; a vouch never bridges a gap in which others could have held orders.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -63,6 +63,12 @@
 /** Changes of targets are read together within this part of the drain bound: each call to the store is priced. */
 private const val TARGET_PAUSE_SHARE = 0.4
 
+/**
+ * Changes of instances and versions are read together within this time, in milliseconds: when many instances start, each writes its record,
+ * and each write would otherwise cost every instance a call.
+ */
+private const val RECORD_PAUSE_MS = 400L
+
 /** Keys are refused this long before the bound on withdrawn ones, in milliseconds. */
 private const val KEY_MARGIN_MS = 700L
 
@@ -99,9 +105,19 @@
     private val choice = TargetChoice(settings.dataCentre, random::nextDouble)
     private val socket = PeerSocket { exchange.receive(it) }
     private val exchange: PeerExchange =
-        PeerExchange(self, scheduler, targets, shares, popularity, socket::send, {
-            serving.isLeaving
-        }, ::isReady, { serving.adaptersChanged(it.id) })
+        PeerExchange(
+            self,
+            scheduler,
+            targets,
+            shares,
+            popularity,
+            lease,
+            ::noticeSuspension,
+            socket::send,
+            { serving.isLeaving },
+            ::isReady,
+            { serving.adaptersChanged(it.id) },
+        )
     private val serving: Serving =
         Serving(
             settings.bounds,
@@ -190,8 +206,8 @@
         follow(StoreKind.Configuration, ConfigurationListener(ports.records, keyFreshness::confirm, ::configured), 0)
         val targetListener = TargetListener(ports.records, targets, ::targetGone, ::targetsChanged)
         follow(StoreKind.Targets, targetListener, (settings.bounds.drainMs * TARGET_PAUSE_SHARE).toLong())
-        follow(StoreKind.AdapterVersions, VersionListener(ports.records, serving.versions), 0)
-        follow(StoreKind.Instances, membership, 0)
+        follow(StoreKind.AdapterVersions, VersionListener(ports.records, serving.versions), RECORD_PAUSE_MS)
+        follow(StoreKind.Instances, membership, RECORD_PAUSE_MS)
         scheduler.after(TICK_MS, ::tick)
         log.event(
             Level.INFO,
@@ -292,18 +308,22 @@
         .channel()
 
     private fun tick() {
+        noticeSuspension()
         val now = scheduler.now()
-        if (suspension.check(now, System.currentTimeMillis())) {
-            log.event(Level.WARN, "clocks-apart") { "this process stood still or the time of day jumped" }
-            keyFreshness.forget(now)
-            lease.forget(now)
-        }
         exchange.tick()
         probes.tick(now)
         if (++ticks % SLOW_TICKS == 0) slowTick(now)
         scheduler.after(TICK_MS, ::tick)
     }
 
+    private fun noticeSuspension() {
+        val now = scheduler.now()
+        if (!suspension.check(now, System.currentTimeMillis())) return
+        log.event(Level.WARN, "clocks-apart") { "this process stood still or the time of day jumped" }
+        keyFreshness.forget(now)
+        lease.forget(now)
+    }
+
     private fun slowTick(now: Long) {
         if (targets.expire(now).isNotEmpty()) lease.refresh(targets.all.map { it.id })
         serving.instances = exchange.instances()
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/InstanceSet.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/InstanceSet.kt
@@ -23,6 +23,9 @@
 data class InstanceSet(
     val members: Map<String, InstanceRecord>,
 ) {
+    /** Hash of the names, the same on all instances that know the same set. */
+    val hash: Long = stableHash(members.keys.sorted().joinToString("|"))
+
     /** Returns the instance that gives orders to [target]. */
     fun holderOrNull(target: String): String? = members.keys.minWithOrNull(compareBy({ stableHash("$target|$it") }, { it }))
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/OrderLease.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/OrderLease.kt
@@ -46,6 +46,26 @@
         freshness.confirm(at, askedAt)
     }
 
+    /** Hash of the set that this instance knows. */
+    val setHash: Long get() = set.hash
+
+    /** Returns the time in milliseconds since the set was known to be current, or null. */
+    fun ageOrNull(now: Long): Long? = freshness.ageOrNull(now)
+
+    /**
+     * Notes that another instance knew the set with [hash] to be current at time [at], which is counted back from a message of this
+     * instance that it had heard, sent at [askedAt]. It only prolongs a confirmation: after a longer gap another instance could have
+     * joined, held orders and left, and the set would look the same.
+     */
+    fun vouch(
+        hash: Long,
+        at: Long,
+        askedAt: Long,
+    ) {
+        val age = freshness.ageOrNull(at) ?: return
+        if (hash == set.hash && age <= CONFIRMATION_MS + leaseMs) freshness.confirm(at, askedAt)
+    }
+
     /**
      * Notes that changes of the set may have gone unseen before [now]. After a gap in which another instance could have joined, held orders
      * and left, all waits start anew and tokens rise above whatever that one had. A watch that goes on after an outage shows every change,
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
@@ -10,6 +10,8 @@
 import io.skylarkstile.gateway.main.Scheduler
 import io.skylarkstile.gateway.membership.InstanceRecord
 import io.skylarkstile.gateway.membership.InstanceSet
+import io.skylarkstile.gateway.membership.OrderLease
+import io.skylarkstile.gateway.membership.SetVouches
 import io.skylarkstile.gateway.model.AdapterVersion
 import io.skylarkstile.gateway.relay.AdapterDemand
 import io.skylarkstile.gateway.target.AdapterPhase
@@ -46,12 +48,15 @@
     private val targets: TargetTable,
     private val shares: WorkspaceShares,
     private val popularity: Popularity,
+    private val lease: OrderLease,
+    private val noticeSuspension: () -> Unit,
     private val send: (GatewayDatagram, Collection<InetSocketAddress>) -> Unit,
     private val isLeaving: () -> Boolean,
     private val isReady: () -> Boolean,
     private val onAdapters: (TargetState) -> Unit,
 ) : AdapterDemand {
     val board = PeerBoard()
+    private val vouches = SetVouches(self.name, self.startedAt, lease)
     private val asked = ArrayList<String>()
     private val holderOf = HashMap<String, String>()
     private var members = InstanceSet.EMPTY
@@ -95,6 +100,7 @@
         if (!board.hear(datagram.sender, state, now)) return
         // A new process counts anew, so the name alone would give a jump.
         shares.told(now, "${datagram.sender}/${state.startedAt}", demandsOf(state))
+        vouches.hear(state)
         state.asked.forEach { popularity.record(it, now) }
         state.held.forEach { applyHeld(it, datagram.sender, now) }
         recount()
@@ -180,8 +186,11 @@
     }
 
     private fun tell() {
+        // The age of the view is told, which isn't known after a suspension.
+        noticeSuspension()
         val now = scheduler.now()
         sentAt = now
+        vouches.sent(number + 1, now)
         val state =
             GatewayState(
                 startedAt = self.startedAt,
@@ -192,6 +201,10 @@
                 demands = shares.demands(now).map { (name, demand) -> WorkspaceDemand(name, demand.tokensPerSecond, demand.admitted) },
                 asked = asked.toList(),
                 held = holder.known().map { held(it, now) },
+                needsVouch = vouches.isNeeded(now),
+                set = lease.setHash,
+                setAgeMs = lease.ageOrNull(now) ?: -1,
+                vouches = vouches.given(board.recent(now, PRESENT_MS)),
             )
         asked.clear()
         send(GatewayDatagram(sender = self.name, state = state), others.map { it.peers })
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/membership/OrderLeaseSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/membership/OrderLeaseSpec.kt
@@ -37,6 +37,16 @@
 
     fun now(time: Long) = time - suspendedMs
 
+    /** Hears of [peer], some time after both sides last heard each other, how old its view is. */
+    fun hear(
+        peer: Node,
+        askedAt: Long,
+        peerNow: Long,
+    ) {
+        val age = peer.lease.ageOrNull(peerNow) ?: return
+        lease.vouch(peer.lease.setHash, askedAt - age, askedAt)
+    }
+
     /**
      * Reads the sets that the store has had, the last one being the present one, as the watch of a running process does, and records a
      * settled one. Where the [isHistoryGone], only the present one is seen.
@@ -101,6 +111,11 @@
                         if (node.mustForget) node.lease.forget(now)
                         node.mustForget = false
                         if (!node.isCut && random.nextInt(5) == 0) node.look(sets, random.nextInt(8) == 0, now)
+                        val peer = nodes.random(random)
+                        // Its message may have been on the way for long; what it heard of this node is older still.
+                        if (peer !== node && !peer.isSuspended && !peer.mustForget && random.nextInt(3) == 0) {
+                            node.hear(peer, askedAt = now - random.nextInt(5) * 100L, peerNow = peer.now(time))
+                        }
                         targets.forEach { target ->
                             val token = node.lease.tokenOrNull(target, now) ?: return@forEach
                             val before = last[target]
