Keep targets that go after an outage only until entries would have returned

Cause: one instance lost the store from 16.5 s to 23.6 s. A removal seen within 2.5 s of its return counted as an entry that had lapsed, and the target was kept for 2.2 s from the removal on. Entries that lapsed are written again within two seconds of the store's return, so what is removed later has really gone: here at 26.07 s, kept until 28.27 s (log of frontend-altiplano-a-2).

Ruled out: a watch that answered late (the removal was read 0.27 s after it was accepted) and the pause between two looks (0.8 s).

Change: listeners get the time until which lapsed entries may return, counted from the end of the outage, in place of a flag. KindWatchSpec: the new case expects 8,340 and got 10,340 under the old rule. Other specs carry the time where they carried the flag; their assertions are the same.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -372,10 +372,10 @@
     private fun targetGone(
         id: String,
         now: Long,
-        afterOutage: Boolean,
+        returnBy: Long?,
     ) {
         targets[id]?.let { pool.forget(it.entry.address) }
-        targets.remove(id, now, afterOutage)
+        targets.remove(id, now, returnBy)
     }
 
     private companion object {
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/StoreListeners.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/StoreListeners.kt
@@ -32,13 +32,13 @@
     override fun listed(
         page: StorePage,
         now: Long,
-        afterOutage: Boolean,
+        returnBy: Long?,
     ) = page.objects.forEach { read(it, now) }
 
     override fun changed(
         page: StorePage,
         now: Long,
-        afterOutage: Boolean,
+        returnBy: Long?,
     ) = page.objects.forEach { read(it, now) }
 
     override fun confirmed(
@@ -69,26 +69,26 @@
 internal class TargetListener(
     private val records: RecordDecoder,
     private val targets: TargetTable,
-    private val remove: (id: String, now: Long, afterOutage: Boolean) -> Unit,
+    private val remove: (id: String, now: Long, returnBy: Long?) -> Unit,
     private val changed: () -> Unit,
 ) : KindListener {
     override fun listed(
         page: StorePage,
         now: Long,
-        afterOutage: Boolean,
+        returnBy: Long?,
     ) {
-        targets.replace(page.objects.mapNotNull(::entryOrNull), now, afterOutage)
+        targets.replace(page.objects.mapNotNull(::entryOrNull), now, returnBy)
         changed()
     }
 
     override fun changed(
         page: StorePage,
         now: Long,
-        afterOutage: Boolean,
+        returnBy: Long?,
     ) {
         page.objects.forEach { item ->
             val entry = entryOrNull(item)
-            if (entry != null) targets.put(entry) else gone(item, now, afterOutage)
+            if (entry != null) targets.put(entry) else gone(item, now, returnBy)
         }
         changed()
     }
@@ -102,16 +102,16 @@
     private fun gone(
         item: StoredObject,
         now: Long,
-        afterOutage: Boolean,
+        returnBy: Long?,
     ) {
         log.event(
             Level.INFO,
             "target-gone",
             "target" to item.name,
             "revision" to item.revision,
-            "afterOutage" to afterOutage,
+            "returnBy" to returnBy,
         ) { "target is gone" }
-        remove(item.name, now, afterOutage)
+        remove(item.name, now, returnBy)
     }
 
     private fun entryOrNull(item: StoredObject): TargetEntry? {
@@ -131,13 +131,13 @@
     override fun listed(
         page: StorePage,
         now: Long,
-        afterOutage: Boolean,
+        returnBy: Long?,
     ) = page.objects.forEach(::read)
 
     override fun changed(
         page: StorePage,
         now: Long,
-        afterOutage: Boolean,
+        returnBy: Long?,
     ) = page.objects.forEach(::read)
 
     override fun confirmed(
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/Membership.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/Membership.kt
@@ -55,7 +55,7 @@
     override fun listed(
         page: StorePage,
         now: Long,
-        afterOutage: Boolean,
+        returnBy: Long?,
     ) {
         if (isListed) lease.missedChanges(now)
         val before = known.toMap()
@@ -68,7 +68,7 @@
     override fun changed(
         page: StorePage,
         now: Long,
-        afterOutage: Boolean,
+        returnBy: Long?,
     ) {
         // One by one: an instance that joined and left between two looks may have held orders.
         page.objects.forEach { item ->
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/KindWatch.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/KindWatch.kt
@@ -16,18 +16,21 @@
 
 /** Receives what a [KindWatch] sees. */
 interface KindListener {
-    /** Replaces the whole view. [afterOutage] is set when the store could not be read for a while before. */
+    /**
+     * Replaces the whole view. [returnBy] is set shortly after an outage of the store: until then, entries that lapsed meanwhile may be
+     * written again.
+     */
     fun listed(
         page: StorePage,
         now: Long,
-        afterOutage: Boolean,
+        returnBy: Long?,
     )
 
     /** Applies changes; an object without content was removed. */
     fun changed(
         page: StorePage,
         now: Long,
-        afterOutage: Boolean,
+        returnBy: Long?,
     )
 
     /** Notes that the view was current at time [at], with the store at [revision], as the answer to a question of [askedAt] says. */
@@ -83,7 +86,7 @@
         val now = scheduler.now()
         recovered(now)
         revision = result.value.revision
-        listener.listed(result.value, now, isAfterOutage(now))
+        listener.listed(result.value, now, returnByOrNull(now))
         listener.confirmed(sentAt, sentAt, result.value.revision)
         next()
     }
@@ -102,7 +105,7 @@
             listener.confirmed(maxOf(sentAt, minOf(now, sentAt + waitMs)), sentAt, page.revision)
             return next()
         }
-        listener.changed(page, now, isAfterOutage(now))
+        listener.changed(page, now, returnByOrNull(now))
         listener.confirmed(sentAt, sentAt, result.value.revision)
         if (pauseMs > 0) scheduler.after(pauseMs) { next() } else next()
     }
@@ -130,10 +133,11 @@
         log.event(Level.INFO, "store-regained", "kind" to "$kind", "outageMs" to now - since) { "regained the store for $kind" }
     }
 
-    private fun isAfterOutage(now: Long): Boolean = outageEndedAt?.let { now - it < OUTAGE_MEMORY_MS } ?: false
+    /** What is removed later than this has not lapsed because of the outage. */
+    private fun returnByOrNull(now: Long): Long? = outageEndedAt?.let { it + RETURN_MS }?.takeIf { it > now }
 
     private companion object {
-        /** Removals within this time of a regained store may be entries that lapsed meanwhile, in milliseconds. */
-        const val OUTAGE_MEMORY_MS = 2_500L
+        /** Entries that lapsed during an outage of the store are back within this time of its return, in milliseconds. */
+        const val RETURN_MS = 2_200L
     }
 }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetTable.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetTable.kt
@@ -6,9 +6,6 @@
 
 import io.skylarkstile.gateway.model.TargetEntry
 
-/** Entries that lapsed during an outage of the store are back within this time of its return, in milliseconds. */
-private const val RETURN_MS = 2_200L
-
 /** Holds all known targets. Not thread-safe. */
 class TargetTable {
     private val targets = LinkedHashMap<String, TargetState>()
@@ -33,25 +30,25 @@
         return TargetState(entry).also { targets[entry.id] = it }
     }
 
-    /** Takes a target out. With [afterOutage] it stays until it has had time to return. */
+    /** Takes a target out; with [returnBy] only at that time, unless it has returned by then. */
     fun remove(
         id: String,
         now: Long,
-        afterOutage: Boolean,
+        returnBy: Long?,
     ) {
         if (id !in targets) return
-        if (afterOutage) missing.putIfAbsent(id, now + RETURN_MS) else targets.remove(id)
+        if (returnBy != null && returnBy > now) missing.putIfAbsent(id, returnBy) else targets.remove(id)
     }
 
     /** Replaces all entries by a whole list. */
     fun replace(
         entries: List<TargetEntry>,
         now: Long,
-        afterOutage: Boolean,
+        returnBy: Long?,
     ) {
         entries.forEach(::put)
         val listed = entries.mapTo(HashSet()) { it.id }
-        targets.keys.filter { it !in listed }.forEach { remove(it, now, afterOutage) }
+        targets.keys.filter { it !in listed }.forEach { remove(it, now, returnBy) }
     }
 
     /** Takes out the targets that did not return in time. */
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/membership/MembershipSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/membership/MembershipSpec.kt
@@ -70,7 +70,7 @@
     val membership = Membership(self, SilentStore, ManualScheduler(), lease, { targets }, { null }, {})
 
     init {
-        membership.listed(StorePage(listOf(stored("a", 3)), 3), 0, afterOutage = false)
+        membership.listed(StorePage(listOf(stored("a", 3)), 3), 0, returnBy = null)
         membership.confirmed(0, 0, 3)
         membership.confirmed(8_000, 8_000, 3)
     }
@@ -83,7 +83,7 @@
         test("after an outage without a change the instance goes on at once") {
             val fixture = Fixture()
             fixture.ordered(20_000) shouldBe 0
-            fixture.membership.changed(StorePage(emptyList(), 3), 20_000, afterOutage = true)
+            fixture.membership.changed(StorePage(emptyList(), 3), 20_000, returnBy = 22_200)
             fixture.membership.confirmed(20_000, 20_000, 3)
             fixture.ordered(20_000) shouldBe targets.size
         }
@@ -94,7 +94,7 @@
             fixture.membership.changed(
                 StorePage(listOf(stored("b", 10), StoredObject("b", 11, null)), 11),
                 20_000,
-                afterOutage = true,
+                returnBy = 22_200,
             )
             fixture.membership.confirmed(20_000, 20_000, 11)
             fixture.ordered(20_000) shouldBe targets.size - moved.size
@@ -104,7 +104,7 @@
 
         test("when the history is gone after an outage, all targets wait") {
             val fixture = Fixture()
-            fixture.membership.listed(StorePage(listOf(stored("a", 3)), 30), 20_000, afterOutage = true)
+            fixture.membership.listed(StorePage(listOf(stored("a", 3)), 30), 20_000, returnBy = 22_200)
             fixture.membership.confirmed(20_000, 20_000, 30)
             fixture.ordered(20_000) shouldBe 0
         }
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/store/KindWatchSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/store/KindWatchSpec.kt
@@ -58,21 +58,23 @@
 private class Recorder : KindListener {
     val seen = ArrayList<String>()
     var confirmedAt = -1L
+    var returnBy: Long? = null
 
     override fun listed(
         page: StorePage,
         now: Long,
-        afterOutage: Boolean,
+        returnBy: Long?,
     ) {
-        seen.add("listed ${page.objects.map { it.name }} $afterOutage")
+        seen.add("listed ${page.objects.map { it.name }} ${returnBy != null}")
     }
 
     override fun changed(
         page: StorePage,
         now: Long,
-        afterOutage: Boolean,
+        returnBy: Long?,
     ) {
-        seen.add("changed ${page.objects.map { it.name }} $afterOutage")
+        seen.add("changed ${page.objects.map { it.name }} ${returnBy != null}")
+        this.returnBy = returnBy
     }
 
     override fun confirmed(
@@ -131,4 +133,26 @@
             store.give(page(21, "c"))
             recorder.seen.last() shouldBe "changed [c] false"
         }
+
+        test("an entry that goes some seconds after an outage is kept no longer than from the end of the outage, and then not at all") {
+            failOnce(store, scheduler)
+            val endedAt = scheduler.now()
+            scheduler.advance(2_000)
+            store.give(page(31, "d"))
+            recorder.returnBy shouldBe endedAt + 2_200
+            scheduler.advance(500)
+            store.give(page(32, "e"))
+            recorder.returnBy shouldBe null
+        }
     })
+
+/** Lets the watch fail once and succeed again without a change. */
+private fun failOnce(
+    store: ScriptedStore,
+    scheduler: ManualScheduler,
+) {
+    scheduler.advance(500)
+    store.give(StoreResult.Failed("down", false))
+    scheduler.advance(100)
+    store.give(page(30))
+}
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/target/TargetSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/target/TargetSpec.kt
@@ -25,7 +25,7 @@
             table.put(entry("a", isReady = false))
             table.ready("models").shouldBeEmpty()
             table.put(entry("b"))
-            table.remove("b", 0, afterOutage = false)
+            table.remove("b", 0, returnBy = null)
             table["b"] shouldBe null
         }
 
@@ -33,7 +33,7 @@
             val table = TargetTable()
             table.put(entry("a"))
             table.put(entry("b"))
-            table.replace(emptyList(), 1_000, afterOutage = true)
+            table.replace(emptyList(), 1_000, returnBy = 3_200)
             table.ready("models") shouldHaveSize 2
             table.put(entry("a"))
             table.expire(3_199).shouldBeEmpty()
