--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterHolder.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterHolder.kt
@@ -90,6 +90,9 @@
     /** Returns the held targets whose adapters are known. */
     fun known(): List<TargetState> = held.values.filter { it.wasReported }.map { it.target }
 
+    /** Returns whether this instance holds [targetId] and so knows its adapters itself. */
+    fun isHeld(targetId: String): Boolean = held[targetId]?.wasReported ?: false
+
     /** Follows changes of the targets and of the lease, and continues what waits. Called regularly. */
     fun refresh() {
         val now = scheduler.now()
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/WorkspaceShare.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/WorkspaceShare.kt
@@ -36,6 +36,16 @@
     val windowMs: Long,
 )
 
+/**
+ * What an instance knows of the fleet: its number of [instances], whether all of them were heard lately, and the time in milliseconds
+ * within which they hear of each other's admissions.
+ */
+data class FleetKnowledge(
+    val instances: Int,
+    val isKnown: Boolean,
+    val newsMs: Long = 0,
+)
+
 /** Decides the admissions of one workspace. Not thread-safe. */
 class WorkspaceShare(
     rate: TokenRate,
@@ -57,8 +67,9 @@
     private var isFleetKnown = false
     private var instances = max(1, instances)
 
-    /** Tokens admitted beyond the share since the last [split]. */
+    /** Tokens admitted beyond the share of which the others haven't heard yet. */
     private var beyondShare = 0.0
+    private var beyondSince = startedAt
 
     /** Tokens admitted since the start of the process. */
     var admitted = 0L
@@ -133,22 +144,25 @@
     fun demand(now: Long): Double = demandWeight(now) / DEMAND_WINDOW_MS * MS_PER_S
 
     /**
-     * Splits the rate by the demand of all instances; [others] holds what each of the others was last asked for. What nobody asks for is
-     * split evenly. [isFleetKnown] tells whether all of the others were heard lately.
+     * Splits the rate by the demand of all instances; [elsewhere] are the tokens per second that the other instances of [fleet] were last
+     * asked for. What nobody asks for is split evenly.
      */
     fun split(
         now: Long,
-        others: List<Double>,
-        isFleetKnown: Boolean,
+        elsewhere: Double,
+        fleet: FleetKnowledge,
     ) {
         refill(now)
         // A process that has just started, or missed others, doesn't know what was spent meanwhile: the bucket fills up from empty.
-        if (isFleetKnown && !this.isFleetKnown) fleetLevel = min(fleetLevel, 0.0)
-        this.isFleetKnown = isFleetKnown
-        instances = others.size + 1
-        beyondShare = 0.0
+        if (fleet.isKnown && !isFleetKnown) fleetLevel = min(fleetLevel, 0.0)
+        isFleetKnown = fleet.isKnown
+        instances = max(1, fleet.instances)
+        if (now - beyondSince >= fleet.newsMs) {
+            beyondShare = 0.0
+            beyondSince = now
+        }
         val demand = demand(now)
-        val total = demand + others.sum()
+        val total = demand + elsewhere
         val spare = max(rate.perSecond - total, rate.perSecond * EVEN_PART)
         val before = part
         part = (demand + spare / instances) / (total + spare)
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/WorkspaceShares.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/WorkspaceShares.kt
@@ -52,15 +52,12 @@
         }
     }
 
-    /**
-     * Splits all rates again; each entry of [others] holds the demands of one other instance. [isFleetKnown] tells whether all of them were
-     * heard lately.
-     */
+    /** Splits all rates again; [elsewhere] holds what the other instances of [fleet] are asked for, by workspace. */
     fun split(
         now: Long,
-        others: List<Map<String, ShareDemand>>,
-        isFleetKnown: Boolean,
+        elsewhere: Map<String, Double>,
+        fleet: FleetKnowledge,
     ) {
-        shares.forEach { (name, share) -> share.split(now, others.map { it[name]?.tokensPerSecond ?: 0.0 }, isFleetKnown) }
+        shares.forEach { (name, share) -> share.split(now, elsewhere[name] ?: 0.0, fleet) }
     }
 }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -3,6 +3,7 @@
  */
 package io.skylarkstile.gateway.main
 
+import com.github.michaelbull.result.get
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.github.oshai.kotlinlogging.Level
 import io.netty.bootstrap.ServerBootstrap
@@ -21,10 +22,12 @@
 import io.skylarkstile.gateway.adapter.MODEL_WINDOW_MS
 import io.skylarkstile.gateway.adapter.TargetOrders
 import io.skylarkstile.gateway.admission.CallAdmission
+import io.skylarkstile.gateway.admission.FleetKnowledge
 import io.skylarkstile.gateway.admission.Freshness
 import io.skylarkstile.gateway.admission.QuotaTolerance
 import io.skylarkstile.gateway.admission.SuspensionDetector
 import io.skylarkstile.gateway.admission.WorkspaceShares
+import io.skylarkstile.gateway.http.ControlClient
 import io.skylarkstile.gateway.membership.InstanceRecord
 import io.skylarkstile.gateway.membership.Membership
 import io.skylarkstile.gateway.membership.OrderLease
@@ -34,17 +37,24 @@
 import io.skylarkstile.gateway.model.Configuration
 import io.skylarkstile.gateway.model.GatewaySettings
 import io.skylarkstile.gateway.peer.PeerExchange
+import io.skylarkstile.gateway.peer.PeerHost
 import io.skylarkstile.gateway.peer.PeerSocket
+import io.skylarkstile.gateway.peer.PeerViews
+import io.skylarkstile.gateway.peer.changesOf
+import io.skylarkstile.gateway.peer.serveChanges
 import io.skylarkstile.gateway.relay.CallCodec
 import io.skylarkstile.gateway.relay.CallerConnection
 import io.skylarkstile.gateway.relay.Serving
 import io.skylarkstile.gateway.relay.StrictRequestDecoder
 import io.skylarkstile.gateway.relay.TargetPool
+import io.skylarkstile.gateway.store.ChangesSource
 import io.skylarkstile.gateway.store.KindListener
 import io.skylarkstile.gateway.store.KindWatch
 import io.skylarkstile.gateway.store.RecordDecoder
 import io.skylarkstile.gateway.store.SharedStore
 import io.skylarkstile.gateway.store.StoreKind
+import io.skylarkstile.gateway.store.StoredObject
+import io.skylarkstile.gateway.store.WatchPace
 import io.skylarkstile.gateway.target.TargetChoice
 import io.skylarkstile.gateway.target.TargetProbes
 import io.skylarkstile.gateway.target.TargetState
@@ -60,6 +70,14 @@
 /** Longest wait of one watch, in milliseconds: a connection that went silent hides changes no longer than this and a call's time limit. */
 private const val WATCH_MS = 2_500L
 
+/** An aggregator's watch waits at most this part of the drain bound, and others rely on a view that is at most this part of it old. */
+private const val READER_WAIT_SHARE = 0.25
+private const val TOLD_AGE_SHARE = 0.6
+
+/** The same for instances and versions, in milliseconds: less than orders may be given after a confirmation. */
+private const val RECORD_WAIT_MS = 1_500L
+private const val RECORD_AGE_MS = 3_000L
+
 /** Changes of targets are read together within this part of the drain bound: each call to the store is priced. */
 private const val TARGET_PAUSE_SHARE = 0.4
 
@@ -92,9 +110,12 @@
     private val scheduler: Scheduler,
     private val ports: GatewayPorts,
     startedAt: Long,
-    random: Random,
+    private val random: Random,
 ) {
-    private val self = InstanceRecord(settings.instance, settings.dataCentre, settings.callers, settings.peers, startedAt, emptySet())
+    private val self =
+        InstanceRecord(settings.instance, settings.dataCentre, settings.callers, settings.peers, startedAt, emptySet(), settings.linkMbps)
+    private val views = PeerViews()
+    private val peerClient = ControlClient(loop, scheduler)
     private val targets = TargetTable()
     private val shares =
         WorkspaceShares(QuotaTolerance(settings.bounds.quotaOverage, settings.bounds.quotaSlack, settings.bounds.quotaWindowMs))
@@ -112,11 +133,9 @@
             shares,
             popularity,
             lease,
-            ::noticeSuspension,
+            views,
+            Host(),
             socket::send,
-            { serving.isLeaving },
-            ::isReady,
-            { serving.adaptersChanged(it.id) },
         )
     private val serving: Serving =
         Serving(
@@ -145,7 +164,7 @@
         )
     private val probes = TargetProbes(targets, ::probe, scheduler::now) { serving.targetDead(it) }
     private val membership =
-        Membership(self, ports.store, scheduler, lease, { targets.all.map { it.id } }, exchange.board::heardAtOrNull, exchange::apply)
+        Membership(self, ports.store, scheduler, lease, { targets.all.map { it.id } }, exchange, exchange::apply)
     private val suspension = SuspensionDetector(scheduler.now(), System.currentTimeMillis())
     private val callers = HashSet<CallerConnection>()
     private var ticks = 0
@@ -159,6 +178,28 @@
         override val configurationAgeMs: Long? get() = keyFreshness.ageOrNull(scheduler.now())
     }
 
+    private inner class Host : PeerHost {
+        override val isLeaving: Boolean get() = serving.isLeaving
+        override val isReady: Boolean get() = this@Gateway.isReady()
+
+        override fun noticeSuspension() = this@Gateway.noticeSuspension()
+
+        override fun adaptersChanged(target: TargetState) = serving.adaptersChanged(target.id)
+
+        override fun changesOf(peer: InstanceRecord): ChangesSource = changesOf(peerClient, peer.peers)
+    }
+
+    /** Follows the store closely where others rely on it: each of them adds the time of a message to the age of the view. */
+    private inner class FleetPace(
+        private val ownPauseMs: Long,
+        private val readerWaitMs: Long,
+        override val mostAgeMs: Long,
+    ) : WatchPace {
+        override val waitMs: Long get() = if (exchange.isAggregator) readerWaitMs else WATCH_MS
+        override val pauseMs: Long get() = if (exchange.isAggregator) minOf(ownPauseMs, readerWaitMs) else ownPauseMs
+        override val reliesOnPeers: Boolean get() = !exchange.readsStore
+    }
+
     private inner class Fleet : FleetView {
         override fun isInUse(
             target: TargetState,
@@ -198,16 +239,28 @@
         exchange.holder = holder
         serving.metrics.register(Gauges())
         socket.bind(loop, settings.peers)
+        serveChanges(loop, settings.peers, views)
         listening = listen()
         loop.execute(::begin)
     }
 
     private fun begin() {
-        follow(StoreKind.Configuration, ConfigurationListener(ports.records, keyFreshness::confirm, ::configured), 0)
-        val targetListener = TargetListener(ports.records, targets, ::targetGone, ::targetsChanged)
-        follow(StoreKind.Targets, targetListener, (settings.bounds.drainMs * TARGET_PAUSE_SHARE).toLong())
-        follow(StoreKind.AdapterVersions, VersionListener(ports.records, serving.versions), RECORD_PAUSE_MS)
-        follow(StoreKind.Instances, membership, RECORD_PAUSE_MS)
+        val drainMs = settings.bounds.drainMs
+        val readerMs = (drainMs * READER_WAIT_SHARE).toLong()
+        val urgentAgeMs = (drainMs * TOLD_AGE_SHARE).toLong()
+        follow(
+            StoreKind.Configuration,
+            ConfigurationListener(ports.records, keyFreshness::confirm, ::configured),
+            FleetPace(0, readerMs, urgentAgeMs),
+        )
+        follow(
+            StoreKind.Targets,
+            TargetListener(ports.records, targets, ::targetGone, ::targetsChanged),
+            FleetPace((drainMs * TARGET_PAUSE_SHARE).toLong(), readerMs, urgentAgeMs),
+        ) { ports.records.target(it).get() }
+        val recordPace = FleetPace(RECORD_PAUSE_MS, RECORD_WAIT_MS, RECORD_AGE_MS)
+        follow(StoreKind.AdapterVersions, VersionListener(ports.records, serving.versions), recordPace)
+        follow(StoreKind.Instances, membership, recordPace)
         scheduler.after(TICK_MS, ::tick)
         log.event(
             Level.INFO,
@@ -239,7 +292,8 @@
         val now = scheduler.now()
         val ready = (if (isReady()) listOf(settings.callers) else emptyList()) + exchange.readyAddresses(now)
         val present = (if (serving.isLeaving) emptyList() else listOf(settings.callers)) + exchange.presentAddresses(now)
-        return ready.ifEmpty { present }.map(::textOf)
+        // Callers take the first ones of a long list, so each answer has another order.
+        return ready.ifEmpty { present }.shuffled(random).map(::textOf)
     }
 
     /** Tells callers and peers that this instance leaves. Calls go on, new ones too, while callers move to other instances. */
@@ -284,8 +338,13 @@
     private fun follow(
         kind: StoreKind,
         listener: KindListener,
-        pauseMs: Long,
-    ) = KindWatch(kind, ports.store, scheduler, listener, WATCH_MS, pauseMs).start()
+        pace: WatchPace,
+        contentOf: (StoredObject) -> Any? = { null },
+    ) {
+        val watch = KindWatch(kind, ports.store, scheduler, listener, pace, contentOf)
+        views.add(kind, watch)
+        watch.start()
+    }
 
     private fun listen(): Channel = ServerBootstrap()
         .group(loop)
@@ -322,12 +381,14 @@
         log.event(Level.WARN, "clocks-apart") { "this process stood still or the time of day jumped" }
         keyFreshness.forget(now)
         lease.forget(now)
+        views.forget(now)
     }
 
     private fun slowTick(now: Long) {
         if (targets.expire(now).isNotEmpty()) lease.refresh(targets.all.map { it.id })
         serving.instances = exchange.instances()
-        shares.split(now, exchange.demandsElsewhere(), exchange.isFleetKnown(now))
+        views.tick()
+        shares.split(now, exchange.demandElsewhere(), FleetKnowledge(exchange.instances(), exchange.isFleetKnown(now), exchange.newsMs))
         membership.tend()
         holder.refresh()
         pool.trim()
@@ -345,7 +406,7 @@
 
     private fun ownTargetChanged(target: TargetState) {
         serving.adaptersChanged(target.id)
-        exchange.changed()
+        exchange.changed(target)
     }
 
     private fun targetsChanged() {
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/InstanceSet.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/InstanceSet.kt
@@ -17,6 +17,8 @@
     val startedAt: Long,
     /** Targets to which this instance may give orders; its next process may go on at once. */
     val settled: Set<String>,
+    /** Bandwidth of the machine's link in Mbit/s, 0 when unknown. */
+    val linkMbps: Int = 0,
 )
 
 /** Holds the instances that the store shows. */
@@ -25,9 +27,12 @@
 ) {
     /** Hash of the names, the same on all instances that know the same set. */
     val hash: Long = stableHash(members.keys.sorted().joinToString("|"))
+    private val holders = HashMap<String, String?>()
 
     /** Returns the instance that gives orders to [target]. */
-    fun holderOrNull(target: String): String? = members.keys.minWithOrNull(compareBy({ stableHash("$target|$it") }, { it }))
+    fun holderOrNull(target: String): String? = holders.getOrPut(target) {
+        members.keys.minWithOrNull(compareBy({ stableHash("$target|$it") }, { it }))
+    }
 
     companion object {
         val EMPTY = InstanceSet(emptyMap())
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/Membership.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/Membership.kt
@@ -33,7 +33,7 @@
     private val scheduler: Scheduler,
     private val lease: OrderLease,
     private val targetIds: () -> Collection<String>,
-    private val heardAt: (String) -> Long?,
+    private val presence: PeerPresence,
     private val onChange: (InstanceSet) -> Unit,
 ) : KindListener {
     private class Known(
@@ -70,6 +70,10 @@
         now: Long,
         returnBy: Long?,
     ) {
+        if (page.objects.all { it.spec != null }) {
+            page.objects.forEach { put(it, now, known[it.name]) }
+            return apply(page.revision, emptySet(), now)
+        }
         // One by one: an instance that joined and left between two looks may have held orders.
         page.objects.forEach { item ->
             if (item.spec != null) {
@@ -125,7 +129,10 @@
             "instances-changed",
             "revision" to revision,
             "resumed" to resumed.size,
-        ) { "instances ${changed.members.keys.sorted()}" }
+            "instances" to changed.members.size,
+            "joined" to (changed.members.keys - set.members.keys).sorted(),
+            "left" to (set.members.keys - changed.members.keys).sorted(),
+        ) { "the set of instances has changed" }
         set = changed
         lease.apply(set, targetIds(), revision, resumed, now)
         onChange(set)
@@ -172,19 +179,22 @@
 
     private fun removeLost(now: Long) {
         val others = known.filterKeys { it != self.name }
-        val (lost, present) = others.entries.partition { (name, it) -> now - maxOf(heardAt(name) ?: Long.MIN_VALUE, it.seenAt) > LOST_MS }
+        val (lost, present) = others.entries.partition { (name, it) -> silentMs(name, it, now) > LOST_MS }
         // One that hears less than half of the others is more likely cut off itself.
         if (lost.isEmpty() || present.size < others.size / 2) return
-        val turn = (present.map { it.key } + self.name).sorted().indexOf(self.name)
-        val due = lost.filter { (name, it) -> now - maxOf(heardAt(name) ?: Long.MIN_VALUE, it.seenAt) > LOST_MS + turn * TURN_MS }
+        val heard = present.map { it.key }
+        val due =
+            lost.filter { (name, it) ->
+                val turn = presence.removalTurnOrNull(name, heard)
+                turn != null && silentMs(name, it, now) > LOST_MS + turn * TURN_MS
+            }
         val (name, gone) = due.firstOrNull() ?: return
         isWriting = true
-        val silentMs = now - maxOf(heardAt(name) ?: Long.MIN_VALUE, gone.seenAt)
         log.event(
             Level.WARN,
             "instance-removed",
             "instance" to name,
-            "silentMs" to silentMs,
+            "silentMs" to silentMs(name, gone, now),
         ) { "removing instance $name, which nobody hears" }
         store.remove(StoreKind.Instances, name, gone.revision) { result ->
             isWriting = false
@@ -195,12 +205,19 @@
         }
     }
 
+    private fun silentMs(
+        name: String,
+        known: Known,
+        now: Long,
+    ): Long = now - maxOf(presence.heardAtOrNull(name) ?: Long.MIN_VALUE, known.seenAt)
+
     private fun stored(record: InstanceRecord) = GatewayInstance(
         dataCentre = record.dataCentre,
         callers = textOf(record.callers),
         peers = textOf(record.peers),
         startedAt = record.startedAt,
         settled = record.settled.sorted(),
+        linkMbps = record.linkMbps,
     )
 
     private fun recordOrNull(
@@ -215,6 +232,7 @@
             addressOf(stored.peers),
             stored.startedAt,
             stored.settled.toSet(),
+            stored.linkMbps ?: 0,
         )
     } catch (e: IllegalArgumentException) {
         log.event(Level.DEBUG, "record-malformed", "name" to name) { e.message ?: "malformed" }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/GatewaySettings.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/GatewaySettings.kt
@@ -17,6 +17,8 @@
     /** Where operators read metrics and the state dump. */
     val operators: InetSocketAddress,
     val bounds: Bounds,
+    /** Bandwidth of the machine's link in Mbit/s, 0 when unknown. */
+    val linkMbps: Int = 0,
 )
 
 /** Bounds that the deployment sets. Times are in milliseconds. */
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/Target.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/Target.kt
@@ -15,14 +15,8 @@
     val isReady: Boolean,
     /** Start of this incarnation in Unix milliseconds; 0 when the entry doesn't say. */
     val startedAt: Long,
-    /** Adapters that the target has, as of its last report; null for a service without engines. */
-    val models: List<HeldModel>,
-)
-
-/** A base model on a target with the adapters it has. */
-data class HeldModel(
-    val model: String,
-    val adapters: List<AdapterVersion>,
+    /** Base models that the target has, as of its last report. Its adapters are told by the holder of its orders, who knows them sooner. */
+    val models: Set<String>,
 )
 
 /** Names an adapter of a model. */
--- /dev/null
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerChanges.kt
@@ -0,0 +1,73 @@
+/*
+ * Hands changes of the store from one instance to another over HTTP: they can be larger than a datagram, and they have to arrive.
+ */
+package io.skylarkstile.gateway.peer
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import io.netty.channel.Channel
+import io.netty.channel.EventLoop
+import io.netty.handler.codec.http.HttpMethod
+import io.skylarkstile.config.log.event
+import io.skylarkstile.gateway.http.ControlAnswer
+import io.skylarkstile.gateway.http.ControlClient
+import io.skylarkstile.gateway.http.ControlRequest
+import io.skylarkstile.gateway.http.ControlResult
+import io.skylarkstile.gateway.http.serveControl
+import io.skylarkstile.gateway.store.ChangesSince
+import io.skylarkstile.gateway.store.ChangesSource
+import io.skylarkstile.gateway.store.StoreKind
+import io.skylarkstile.gateway.store.StoredObject
+import io.skylarkstile.schema.generated.ChangedObject
+import io.skylarkstile.schema.generated.StoreChanges
+import io.skylarkstile.schema.recordJson
+import java.net.InetSocketAddress
+
+private val log = KotlinLogging.logger {}
+
+/** An instance in the same data centre answers within some milliseconds; after this time the store is asked. */
+private const val CALL_MS = 500L
+private const val PATH = "/changes/"
+private const val OK = 200
+private const val NOT_FOUND = 404
+
+/** Answers other instances at [address] with the changes that [views] know. */
+internal fun serveChanges(
+    loop: EventLoop,
+    address: InetSocketAddress,
+    views: PeerViews,
+): Channel = serveControl(loop, address) { _, path, query ->
+    val kind = StoreKind.entries.firstOrNull { path == PATH + it.name }
+    val after = query["after"]?.firstOrNull()?.toLongOrNull()
+    val changes = if (kind == null || after == null) null else views.watchOrNull(kind)?.changesAfterOrNull(after)
+    if (changes == null) ControlAnswer(NOT_FOUND) else ControlAnswer(OK, textOf(changes))
+}
+
+/** Creates the source of the changes that the instance at [address] knows. */
+internal fun changesOf(
+    client: ControlClient,
+    address: InetSocketAddress,
+): ChangesSource = { kind, after, done ->
+    client.call(address, ControlRequest(HttpMethod.GET, "$PATH${kind.name}?after=$after"), CALL_MS) { result ->
+        val changes = (result as? ControlResult.Answer)?.takeIf { it.status == OK }?.let { changesOrNull(it.body) }
+        if (changes == null) {
+            log.event(Level.INFO, "changes-not-told", "kind" to kind.name, "after" to after, "peer" to address, "result" to "$result") {
+                "another instance could not tell the changes of ${kind.name}"
+            }
+        }
+        done(changes)
+    }
+}
+
+private fun textOf(changes: ChangesSince): String = recordJson.encodeToString(
+    StoreChanges.serializer(),
+    StoreChanges(changes.seen, changes.objects.map { ChangedObject(it.name, it.revision, it.spec) }, changes.returnInMs),
+)
+
+private fun changesOrNull(text: String): ChangesSince? = try {
+    val told = recordJson.decodeFromString(StoreChanges.serializer(), text)
+    ChangesSince(told.seen, told.returnInMs, told.objects.map { StoredObject(it.name, it.revision, it.spec) })
+} catch (e: IllegalArgumentException) {
+    log.event(Level.WARN, "changes-malformed") { e.message ?: "malformed" }
+    null
+}
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
@@ -1,5 +1,8 @@
 /*
  * What this instance tells the others and hears from them: running calls, demand, adapters asked for, and the adapters of held targets.
+ *
+ * In a small fleet each instance tells all others. In a large one it tells the aggregator of its group, which answers with the sums of the
+ * whole fleet; the own part is taken away from them again by the message that they contain.
  */
 package io.skylarkstile.gateway.peer
 
@@ -8,28 +11,35 @@
 import io.skylarkstile.gateway.admission.ShareDemand
 import io.skylarkstile.gateway.admission.WorkspaceShares
 import io.skylarkstile.gateway.main.Scheduler
+import io.skylarkstile.gateway.membership.AGGREGATOR_CANDIDATES
+import io.skylarkstile.gateway.membership.AggregatorRole
+import io.skylarkstile.gateway.membership.FleetGroups
 import io.skylarkstile.gateway.membership.InstanceRecord
 import io.skylarkstile.gateway.membership.InstanceSet
 import io.skylarkstile.gateway.membership.OrderLease
+import io.skylarkstile.gateway.membership.PeerPresence
 import io.skylarkstile.gateway.membership.SetVouches
 import io.skylarkstile.gateway.model.AdapterVersion
 import io.skylarkstile.gateway.relay.AdapterDemand
+import io.skylarkstile.gateway.store.ChangesSource
 import io.skylarkstile.gateway.target.AdapterPhase
 import io.skylarkstile.gateway.target.CallWeight
 import io.skylarkstile.gateway.target.TargetState
 import io.skylarkstile.gateway.target.TargetTable
 import io.skylarkstile.schema.generated.AdapterWish
+import io.skylarkstile.schema.generated.FleetReport
 import io.skylarkstile.schema.generated.GatewayDatagram
 import io.skylarkstile.schema.generated.GatewayState
 import io.skylarkstile.schema.generated.HeldTarget
 import io.skylarkstile.schema.generated.LoadingAdapter
+import io.skylarkstile.schema.generated.MemberStatus
 import io.skylarkstile.schema.generated.TargetCalls
-import io.skylarkstile.schema.generated.WorkspaceDemand
 import java.net.InetSocketAddress
 
 /** States are repeated at least this often, in milliseconds, and less often in a large fleet. */
 private const val STATE_MS = 250L
-private const val STATE_MS_PER_INSTANCE = 8L
+private const val DIRECT_STATE_MS_PER_INSTANCE = 8L
+private const val GROUP_STATE_MS_PER_INSTANCE = 1L
 
 /** Changes within this time are told together, in milliseconds. */
 private const val GATHER_MS = 4L
@@ -38,9 +48,33 @@
 /** Adapters that a peer said it holds can be ordered there for this long without news, in milliseconds. */
 private const val HELD_MS = 1_500L
 
+/** An instance whose call waits for an adapter is told at once of changes on the target for this long, in milliseconds. */
+private const val WISHER_MS = 2_000L
+
+/** A group that wasn't heard for this long has lost all of its members, in milliseconds. */
+private const val GROUP_LOST_MS = 10_000L
+
+/** Own messages that are remembered until an aggregator has heard them. */
+private const val REMEMBERED_STATES = 64
+
 /** A peer heard within this time is present, in milliseconds. */
 const val PRESENT_MS = 1_200L
 
+/** What a [PeerExchange] needs from the instance around it. */
+interface PeerHost {
+    val isLeaving: Boolean
+    val isReady: Boolean
+
+    /** Notices a suspension before the age of a view is told, which isn't known after one. */
+    fun noticeSuspension()
+
+    /** The adapters of [target] have changed. */
+    fun adaptersChanged(target: TargetState)
+
+    /** Returns the source of the changes of the store that [peer] knows. */
+    fun changesOf(peer: InstanceRecord): ChangesSource
+}
+
 /** Exchanges states as the instance [self]. Not thread-safe. */
 class PeerExchange(
     private val self: InstanceRecord,
@@ -49,41 +83,101 @@
     private val shares: WorkspaceShares,
     private val popularity: Popularity,
     private val lease: OrderLease,
-    private val noticeSuspension: () -> Unit,
+    private val views: PeerViews,
+    private val host: PeerHost,
     private val send: (GatewayDatagram, Collection<InetSocketAddress>) -> Unit,
-    private val isLeaving: () -> Boolean,
-    private val isReady: () -> Boolean,
-    private val onAdapters: (TargetState) -> Unit,
-) : AdapterDemand {
+) : AdapterDemand,
+    PeerPresence {
+    private class Told(
+        val at: Long,
+        val state: GatewayState,
+    )
+
+    private class HeldNews(
+        val holder: String,
+        val number: Long,
+    )
+
     val board = PeerBoard()
     private val vouches = SetVouches(self.name, self.startedAt, lease)
+    private val aggregator = Aggregator(self.name, self.startedAt)
+    private val role = AggregatorRole()
+    private val told = LinkedHashMap<Long, Told>()
     private val asked = ArrayList<String>()
-    private val holderOf = HashMap<String, String>()
+    private val heldNews = HashMap<String, HeldNews>()
+    private val wishers = HashMap<String, HashMap<String, Long>>()
+    private val noticed = LinkedHashSet<String>()
     private var members = InstanceSet.EMPTY
+    private var groups = FleetGroups(InstanceSet.EMPTY, self.name)
     private var number = 0L
+    private var heldNumber = 0L
     private var sentAt = 0L
     private var isGathering = false
+    private var aggregatesSince: Long? = null
+
+    /** The last report on the fleet and what it says without this instance. */
+    private var fleet: FleetReport? = null
+    private var fleetAt = Long.MIN_VALUE
+    private var source = ""
+    private var sourceSince = 0L
+    private var absent = emptyMap<String, MemberStatus>()
+    private var uses = emptyMap<String, Set<String>>()
+    private var demandElsewhere = emptyMap<String, ShareDemand>()
 
     /** Orders of this instance; set once at the start. */
     lateinit var holder: AdapterHolder
     private val others: List<InstanceRecord> get() = members.members.values.filter { it.name != self.name }
-    private val stateMs: Long get() = maxOf(STATE_MS, STATE_MS_PER_INSTANCE * members.members.size)
+    private val stateMs: Long
+        get() =
+            members.members.size.let { size ->
+                if (groups.isDirect) maxOf(STATE_MS, DIRECT_STATE_MS_PER_INSTANCE * size) else STATE_MS + GROUP_STATE_MS_PER_INSTANCE * size
+            }
+
+    /** True while this instance follows the store itself: in a large fleet the aggregator of a group does, and the one that would be next. */
+    val readsStore: Boolean get() = groups.isDirect || aggregatesSince != null || (groups.ownRank ?: 0) < AGGREGATOR_CANDIDATES
+
+    /** True while others rely on this instance's view of the store. */
+    val isAggregator: Boolean get() = aggregatesSince != null
+
+    /** Returns the time in milliseconds within which the instances hear of each other's admissions. */
+    val newsMs: Long get() = if (groups.isDirect) 0 else stateMs * HOPS
 
     /** Applies the set of instances. */
     fun apply(set: InstanceSet) {
+        val before = groups
         members = set
-        board.retain(set.members.keys)
-        recount()
+        groups = FleetGroups(set, self.name)
+        if (before.own.map { it.name } != groups.own.map { it.name }) role.restart(scheduler.now())
+        aggregator.apply(groups)
+        board.retain(if (groups.isDirect) set.members.keys else groups.own.mapTo(HashSet()) { it.name })
+        if (groups.isDirect) {
+            fleet = null
+            aggregatesSince = null
+            recount()
+        }
     }
 
-    /** Tells the others what has changed, soon. */
-    fun changed() {
+    /** Tells the others what has changed, soon; [target] is the one whose adapters have. */
+    fun changed(target: TargetState? = null) {
+        if (!groups.isDirect && target != null) noticed.add(target.id)
         if (isGathering) return
         isGathering = true
-        scheduler.after(GATHER_MS + GATHER_MS_PER_INSTANCE * members.members.size) {
+        scheduler.after(GATHER_MS + if (groups.isDirect) GATHER_MS_PER_INSTANCE * members.members.size else 0) {
             isGathering = false
-            tell()
+            if (groups.isDirect || target == null) tell()
+            notifyWishers()
+        }
+    }
+
+    /** Tells those whose calls wait for adapters on the changed targets; all others hear of it with the next reports. */
+    private fun notifyWishers() {
+        val now = scheduler.now()
+        noticed.mapNotNull(targets::get).forEach { target ->
+            val waiting = wishers[target.id].orEmpty().filterValues { now - it <= WISHER_MS }.keys
+            val receivers = waiting.mapNotNull { members.members[it]?.peers }
+            if (receivers.isNotEmpty()) send(GatewayDatagram(sender = self.name, notice = held(target, now)), receivers)
         }
+        noticed.clear()
     }
 
     /** Repeats the state when it is due. Called regularly. */
@@ -94,25 +188,90 @@
     /** Takes a datagram. */
     fun receive(datagram: GatewayDatagram) {
         val now = scheduler.now()
-        datagram.wish?.let { wish -> AdapterVersion.parseOrNull(wish.adapter)?.let { holder.wish(wish.target, it) } }
-        val state = datagram.state ?: return
+        datagram.wish?.let { takeWish(it, datagram.sender, now) }
         if (datagram.sender == self.name || datagram.sender !in members.members) return
-        if (!board.hear(datagram.sender, state, now)) return
+        datagram.state?.let { takeState(it, datagram.sender, now) }
+        datagram.notice?.let { applyHeld(it, now) }
+        datagram.groupReport?.let { aggregator.hear(it, datagram.sender, now) }
+        datagram.fleetReport?.let { takeReport(it, datagram.sender, now) }
+    }
+
+    private fun takeWish(
+        wish: AdapterWish,
+        sender: String,
+        now: Long,
+    ) {
+        val adapter = AdapterVersion.parseOrNull(wish.adapter) ?: return
+        if (!holder.wish(wish.target, adapter) || groups.isDirect) return
+        if (wish.isNewCall == true) popularity.record(wish.adapter, now)
+        wishers.getOrPut(wish.target) { HashMap() }[sender] = now
+    }
+
+    private fun takeState(
+        state: GatewayState,
+        sender: String,
+        now: Long,
+    ) {
+        if (!groups.isDirect && groups.own.none { it.name == sender }) return
+        if (!board.hear(sender, state, now)) return
+        if (!groups.isDirect) return aggregator.count(sender, state)
         // A new process counts anew, so the name alone would give a jump.
-        shares.told(now, "${datagram.sender}/${state.startedAt}", demandsOf(state))
+        shares.told(now, "$sender/${state.startedAt}", demandsIn(state.demands))
         vouches.hear(state)
         state.asked.forEach { popularity.record(it, now) }
-        state.held.forEach { applyHeld(it, datagram.sender, now) }
+        state.held.forEach { applyHeld(it, now) }
         recount()
     }
 
+    private fun takeReport(
+        report: FleetReport,
+        sender: String,
+        now: Long,
+    ) {
+        val rank = groups.own.indexOfFirst { it.name == sender }.takeIf { it >= 0 } ?: return
+        role.hear(rank, views.isCurrent(report.views), now)
+        if (isAggregator) return
+        apply(report, sender, now)
+        val mine = toldIn(report) ?: return
+        views.hear(report.views, mine.at, host.changesOf(groups.own[rank]))
+    }
+
+    private fun toldIn(report: FleetReport): Told? =
+        report.heard.firstOrNull { it.instance == self.name && it.startedAt == self.startedAt }?.let { told[it.number] }
+
+    /** Applies what [report] of [sender] says of the others. */
+    private fun apply(
+        report: FleetReport,
+        sender: String,
+        now: Long,
+    ) {
+        fleet = report
+        fleetAt = now
+        val teller = "$sender/${report.startedAt}"
+        if (teller != source) sourceSince = now
+        source = teller
+        absent = report.absent.associateBy { it.name }
+        uses = report.uses.associate { it.target to it.adapters.toSet() }
+        val mine = toldIn(report)?.state
+        val weights = without(weightsIn(report.load), mine?.let { weightsOf(listOf(it)) }.orEmpty())
+        targets.all.forEach { it.peerWeight = weights[it.id] ?: CallWeight.NONE }
+        val ownDemand = mine?.let { demandsIn(it.demands) }
+        if (ownDemand != null) {
+            demandElsewhere = demandsIn(report.demands).mapValues { (name, demand) -> ownDemand[name]?.let { demand - it } ?: demand }
+            shares.told(now, teller, demandElsewhere)
+        }
+        report.held.forEach { applyHeld(it, now) }
+        report.orderable.forEach { id -> targets[id]?.let { it.orderableUntil = maxOf(it.orderableUntil, now + HELD_MS) } }
+    }
+
     override fun wish(
         target: TargetState,
         adapter: AdapterVersion,
     ) {
         if (holder.wish(target.id, adapter)) return
-        val record = holderOf[target.id]?.let(members.members::get) ?: return
-        send(GatewayDatagram(sender = self.name, wish = AdapterWish(target.id, "$adapter")), listOf(record.peers))
+        val record = members.holderOrNull(target.id)?.let(members.members::get) ?: return
+        val isNewCall = !groups.isDirect && asked.remove("$adapter")
+        send(GatewayDatagram(sender = self.name, wish = AdapterWish(target.id, "$adapter", isNewCall)), listOf(record.peers))
     }
 
     override fun asked(adapter: AdapterVersion) {
@@ -126,14 +285,20 @@
         adapter: AdapterVersion,
     ): Boolean {
         val text = "$adapter"
+        if (!groups.isDirect) return uses[target.id]?.contains(text) ?: false
         return board.states().any { state -> state.calls.any { it.target == target.id && text in it.adapters } }
     }
 
     /** Returns where callers reach the present instances that are ready. */
-    fun readyAddresses(now: Long): List<InetSocketAddress> = addresses(now) { it.isReady && !it.isLeaving }
+    fun readyAddresses(now: Long): List<InetSocketAddress> =
+        if (groups.isDirect) addresses(now) { it.isReady && !it.isLeaving } else othersBut { it != null }
 
     /** Returns where callers reach the present instances that don't leave. */
-    fun presentAddresses(now: Long): List<InetSocketAddress> = addresses(now) { !it.isLeaving }
+    fun presentAddresses(now: Long): List<InetSocketAddress> =
+        if (groups.isDirect) addresses(now) { !it.isLeaving } else othersBut { it != null && (it.isLeaving || it.silentMs > PRESENT_MS) }
+
+    private fun othersBut(isLeftOut: (MemberStatus?) -> Boolean): List<InetSocketAddress> =
+        others.filter { !isLeftOut(absent[it.name]) }.map { it.callers }
 
     private fun addresses(
         now: Long,
@@ -144,70 +309,156 @@
         .keys
         .mapNotNull { members.members[it]?.callers }
 
-    /** Returns what the other instances last said of their workspaces. */
-    fun demandsElsewhere(): List<Map<String, ShareDemand>> = board.states().map(::demandsOf)
-
-    /** Returns whether all other instances were heard lately. */
-    fun isFleetKnown(now: Long): Boolean = board.recent(now, PRESENT_MS).size == others.size
+    /** Returns the tokens per second that the other instances were last asked for, by workspace. */
+    fun demandElsewhere(): Map<String, Double> {
+        val demands = if (groups.isDirect) sumOfDemands(board.states().map { demandsIn(it.demands) }) else demandElsewhere
+        return demands.mapValues { it.value.tokensPerSecond }
+    }
 
-    private fun demandsOf(state: GatewayState): Map<String, ShareDemand> =
-        state.demands.associate { it.workspace to ShareDemand(it.tokensPerSecond, it.admitted) }
+    /** Returns whether all other instances were heard lately. What they admitted while another instance took over as aggregator isn't. */
+    fun isFleetKnown(now: Long): Boolean {
+        if (groups.isDirect) return board.recent(now, PRESENT_MS).size == others.size
+        return now - fleetAt <= PRESENT_MS && now - sourceSince > PRESENT_MS && fleet?.isFleetKnown == true
+    }
 
     /** Returns the number of instances that share the bounds, this one included. */
     fun instances(): Int = maxOf(1, members.members.size)
 
+    override fun heardAtOrNull(name: String): Long? {
+        val heardAt = board.heardAtOrNull(name)
+        val since = aggregatesSince
+        if (groups.isDirect || since == null) return heardAt
+        val group = groups.groupOrNull(name)
+        if (group == groups.groupOrNull(self.name)) return maxOf(heardAt ?: since, since)
+        return maxOf(group?.let(aggregator::heardAtOrNull) ?: since, since) + GROUP_LOST_MS
+    }
+
+    override fun removalTurnOrNull(
+        name: String,
+        present: Collection<String>,
+    ): Int? {
+        if (groups.isDirect) return (present + self.name).sorted().indexOf(self.name)
+        if (!isAggregator) return null
+        val ownGroup = groups.groupOrNull(self.name)
+        return if (groups.groupOrNull(name) == ownGroup) {
+            0
+        } else {
+            groups.members.keys
+                .sorted()
+                .indexOf(ownGroup)
+        }
+    }
+
     private fun applyHeld(
         held: HeldTarget,
-        sender: String,
         now: Long,
     ) {
         val target = targets[held.target] ?: return
-        holderOf[held.target] = sender
+        if (holder.isHeld(held.target) || !isNews(held)) return
         if (held.isOrderable) target.orderableUntil = now + HELD_MS
         val present = held.present.mapNotNull(AdapterVersion::parseOrNull).associateWith { AdapterPhase.Present }
         val loading =
             held.loading.mapNotNull { item ->
-                AdapterVersion.parseOrNull(item.adapter)?.let {
-                    it to
-                        AdapterPhase.Loading(now + item.readyInMs)
-                }
+                AdapterVersion.parseOrNull(item.adapter)?.let { it to AdapterPhase.Loading(now + item.readyInMs) }
             }
         val before = target.adapters
         target.adapters = present + loading
-        if (before != target.adapters) onAdapters(target)
+        if (before != target.adapters) host.adaptersChanged(target)
+    }
+
+    /** News of one holder may overtake each other, since they come directly and by way of the aggregators. */
+    private fun isNews(held: HeldTarget): Boolean {
+        val teller = held.holder ?: return true
+        val rank = held.number ?: 0
+        val known = heldNews[held.target]
+        if (known != null && known.holder == teller && known.number >= rank) return false
+        heldNews[held.target] = HeldNews(teller, rank)
+        return true
     }
 
     private fun recount() {
-        val weights = HashMap<String, CallWeight>()
-        board.states().forEach { state ->
-            state.calls.forEach { weights.merge(it.target, CallWeight(it.calls, it.tokens, it.unreadTokens), CallWeight::plus) }
-        }
+        val weights = weightsOf(board.states())
         targets.all.forEach { it.peerWeight = weights[it.id] ?: CallWeight.NONE }
     }
 
     private fun tell() {
-        // The age of the view is told, which isn't known after a suspension.
-        noticeSuspension()
+        host.noticeSuspension()
         val now = scheduler.now()
         sentAt = now
+        heldNumber++
+        val state = ownState(now)
+        asked.clear()
+        if (groups.isDirect) return send(GatewayDatagram(sender = self.name, state = state), others.map { it.peers })
+        told[state.number] = Told(now, state)
+        if (told.size > REMEMBERED_STATES) told.remove(told.keys.first())
+        val rank = groups.ownRank
+        if (rank != null && role.isAggregator(rank, views.isCurrent(now), now)) aggregate(state, now) else report(state, now)
+    }
+
+    private fun ownState(now: Long): GatewayState {
         vouches.sent(number + 1, now)
+        return GatewayState(
+            startedAt = self.startedAt,
+            number = ++number,
+            isLeaving = host.isLeaving,
+            isReady = host.isReady,
+            calls = targets.all.filter { it.ownWeight.calls > 0 }.map(::callsOn),
+            demands = listOf(shares.demands(now)),
+            asked = if (groups.isDirect) asked.toList() else emptyList(),
+            held = holder.known().map { held(it, now) },
+            needsVouch = vouches.isNeeded(now),
+            set = lease.setHash,
+            setAgeMs = lease.ageOrNull(now) ?: -1,
+            vouches = if (groups.isDirect) vouches.given(board.recent(now, PRESENT_MS)) else emptyList(),
+        )
+    }
+
+    private fun report(
+        state: GatewayState,
+        now: Long,
+    ) {
+        aggregatesSince = null
+        val receivers = groups.own.filterIndexed { rank, member -> member.name != self.name && role.shouldHear(rank, now) }
+        send(GatewayDatagram(sender = self.name, state = state), receivers.map { it.peers })
+    }
+
+    private fun aggregate(
+        state: GatewayState,
+        now: Long,
+    ) {
+        if (aggregatesSince == null) aggregatesSince = now
+        val group = groups.groupOrNull(self.name) ?: return
+        aggregator.count(self.name, state)
+        val states = board.recent(now, GROUP_STATES_MS) + (self.name to state)
+        val report = aggregator.groupReport(group, states.values, statuses(now))
+        send(GatewayDatagram(sender = self.name, groupReport = report), aggregator.readers(now).map { it.peers })
+        val fleetReport = aggregator.fleetReport(report, states, members, views.told(now), now)
+        send(GatewayDatagram(sender = self.name, fleetReport = fleetReport), groups.own.filter { it.name != self.name }.map { it.peers })
+        apply(fleetReport, self.name, now)
+        tellSelf(now)
+    }
+
+    /** The next in line has to know the state of this instance too, in case this one falls silent. */
+    private fun tellSelf(now: Long) {
+        val next = groups.own.firstOrNull { it.name != self.name } ?: return
         val state =
-            GatewayState(
-                startedAt = self.startedAt,
-                number = ++number,
-                isLeaving = isLeaving(),
-                isReady = isReady(),
-                calls = targets.all.filter { it.ownWeight.calls > 0 }.map(::callsOn),
-                demands = shares.demands(now).map { (name, demand) -> WorkspaceDemand(name, demand.tokensPerSecond, demand.admitted) },
-                asked = asked.toList(),
-                held = holder.known().map { held(it, now) },
-                needsVouch = vouches.isNeeded(now),
-                set = lease.setHash,
-                setAgeMs = lease.ageOrNull(now) ?: -1,
-                vouches = vouches.given(board.recent(now, PRESENT_MS)),
-            )
-        asked.clear()
-        send(GatewayDatagram(sender = self.name, state = state), others.map { it.peers })
+            told.values
+                .last()
+                .takeIf { it.at == now }
+                ?.state ?: return
+        send(GatewayDatagram(sender = self.name, state = state), listOf(next.peers))
+    }
+
+    private fun statuses(now: Long): List<MemberStatus> {
+        val states = board.recent(now, Long.MAX_VALUE)
+        return groups.own.map { member ->
+            val state = states[member.name]
+            when {
+                member.name == self.name -> MemberStatus(self.name, 0, host.isReady, host.isLeaving)
+                state == null -> MemberStatus(member.name, Aggregator.UNHEARD, isReady = false, isLeaving = false)
+                else -> MemberStatus(member.name, now - (board.heardAtOrNull(member.name) ?: now), state.isReady, state.isLeaving)
+            }
+        }
     }
 
     private fun callsOn(target: TargetState): TargetCalls {
@@ -228,6 +479,16 @@
                 loading.map { (adapter, phase) ->
                     LoadingAdapter("$adapter", maxOf(0, (phase as AdapterPhase.Loading).readyAt - now))
                 },
+            holder = "${self.name}/${self.startedAt}".takeIf { !groups.isDirect },
+            number = (++heldNumber).takeIf { !groups.isDirect },
         )
     }
+
+    private companion object {
+        /** Messages that news passes through in a large fleet: to the own aggregator, to the others, and to their members. */
+        const val HOPS = 3
+
+        /** The last state of a member counts this long, in milliseconds. */
+        const val GROUP_STATES_MS = 3_500L
+    }
 }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/CallWeight.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/CallWeight.kt
@@ -11,6 +11,13 @@
 ) {
     operator fun plus(other: CallWeight) = CallWeight(calls + other.calls, tokens + other.tokens, unreadTokens + other.unreadTokens)
 
+    /** Returns the rest when [part] is taken away, at least nothing. */
+    operator fun minus(part: CallWeight) = CallWeight(
+        maxOf(0, calls - part.calls),
+        maxOf(0, tokens - part.tokens),
+        maxOf(0, unreadTokens - part.unreadTokens),
+    )
+
     companion object {
         val NONE = CallWeight(0, 0, 0)
     }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetState.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetState.kt
@@ -37,7 +37,7 @@
     val adapterCalls = HashMap<AdapterVersion, Int>()
 
     /** Base models that the target has. */
-    var models: Set<String> = entry.models.mapTo(HashSet()) { it.model }
+    var models: Set<String> = entry.models
     var adapters: Map<AdapterVersion, AdapterPhase> = emptyMap()
 
     /** Time until which the holder of its orders is known to load adapters on request. */
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetTable.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetTable.kt
@@ -24,7 +24,7 @@
         val known = targets[entry.id]
         if (known != null && known.entry.startedAt == entry.startedAt && known.entry.address == entry.address) {
             known.entry = entry
-            known.models = entry.models.mapTo(HashSet()) { it.model }
+            known.models = entry.models
             return known
         }
         return TargetState(entry).also { targets[entry.id] = it }
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/Samples.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/Samples.kt
@@ -33,7 +33,7 @@
     startedAt: Long = 1,
     service: String = "models",
     port: Int = 1_000,
-) = TargetEntry(id, service, InetSocketAddress("127.0.0.1", port), dataCentre, slots, isReady, startedAt, emptyList())
+) = TargetEntry(id, service, InetSocketAddress("127.0.0.1", port), dataCentre, slots, isReady, startedAt, emptySet())
 
 fun target(
     id: String,
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/admission/WorkspaceShareSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/admission/WorkspaceShareSpec.kt
@@ -36,7 +36,7 @@
         }
         shares.forEachIndexed { i, share ->
             val isKnown = shares.indices.all { it == i || reachable(i, it) }
-            share.split(now, last[i].filterIndexed { j, _ -> j != i }, isKnown)
+            share.split(now, last[i].filterIndexed { j, _ -> j != i }.sum(), FleetKnowledge(shares.size, isKnown))
         }
     }
 }
--- /dev/null
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/membership/FleetGroupsSpec.kt
@@ -0,0 +1,70 @@
+/*
+ * Guards against instances that disagree about their groups, groups whose aggregator can't serve them, and groups without one.
+ */
+package io.skylarkstile.gateway.membership
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import java.net.InetSocketAddress
+
+private fun fleet(
+    size: Int,
+    dataCentres: Int,
+): InstanceSet {
+    val records =
+        List(size) {
+            val address = InetSocketAddress("127.0.0.1", 1 + it)
+            InstanceRecord("i-$it", "dc-${it % dataCentres}", address, address, 1, emptySet(), linkMbps = if (it % 7 == 0) 7 else 140)
+        }
+    return InstanceSet(records.associateBy { it.name })
+}
+
+class FleetGroupsSpec :
+    FunSpec({
+        test("all instances compute the same groups, each within one data centre and of bounded size") {
+            listOf(13 to 3, 95 to 5, 300 to 3).forEach { (size, dataCentres) ->
+                val set = fleet(size, dataCentres)
+                val groups = set.members.keys.map { FleetGroups(set, it) }
+                groups.map { it.members }.toSet().size shouldBe 1
+                groups.sumOf { it.own.size } shouldBe
+                    groups
+                        .first()
+                        .members.values
+                        .sumOf { it.size * it.size }
+                groups.first().members.values.forEach { members ->
+                    members.map { it.dataCentre }.toSet().size shouldBe 1
+                    // The bound is an average, since instances are spread by hash.
+                    members.size shouldBeLessThanOrEqual 48
+                    members.first().linkMbps shouldBe members.maxOf { it.linkMbps }
+                }
+            }
+        }
+
+        test("a small fleet has no groups") {
+            FleetGroups(fleet(6, 3), "i-1").isDirect shouldBe true
+            FleetGroups(fleet(12, 3), "i-1").members.isEmpty() shouldBe true
+        }
+
+        test("the next in line aggregates when the first is silent, and stops when it is back") {
+            val role = AggregatorRole().apply { restart(0) }
+            role.isAggregator(1, isCurrent = true, now = 500) shouldBe false
+            role.isAggregator(1, isCurrent = true, now = 900) shouldBe true
+            role.hear(0, isCurrent = true, now = 1_000)
+            role.isAggregator(1, isCurrent = true, now = 1_100) shouldBe false
+            role.isAggregator(2, isCurrent = true, now = 2_700) shouldBe false
+            role.isAggregator(2, isCurrent = true, now = 2_800) shouldBe true
+        }
+
+        test("an aggregator that can't see the store gives way to one that can, and to nobody else") {
+            val first = AggregatorRole().apply { restart(0) }
+            first.isAggregator(0, isCurrent = false, now = 5_000) shouldBe true
+            val next = AggregatorRole().apply { restart(0) }
+            (1..20).forEach { next.hear(0, isCurrent = it < 10, now = it * 100L) }
+            next.isAggregator(1, isCurrent = false, now = 2_000) shouldBe false
+            next.isAggregator(1, isCurrent = true, now = 2_000) shouldBe true
+            first.hear(1, isCurrent = true, now = 5_100)
+            first.isAggregator(0, isCurrent = false, now = 5_200) shouldBe false
+            first.isAggregator(0, isCurrent = true, now = 5_300) shouldBe true
+        }
+    })
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/membership/MembershipSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/membership/MembershipSpec.kt
@@ -52,6 +52,16 @@
     ) = Unit
 }
 
+/** Nobody else was heard. */
+private object Alone : PeerPresence {
+    override fun heardAtOrNull(name: String): Long? = null
+
+    override fun removalTurnOrNull(
+        name: String,
+        present: Collection<String>,
+    ): Int = 0
+}
+
 private val targets = List(20) { "t-$it" }
 
 private fun stored(
@@ -67,7 +77,7 @@
     val lease = OrderLease("a", 3_000)
     private val self =
         InstanceRecord("a", "dc", InetSocketAddress("127.0.0.1", 1), InetSocketAddress("127.0.0.1", 2), 1, emptySet())
-    val membership = Membership(self, SilentStore, ManualScheduler(), lease, { targets }, { null }, {})
+    val membership = Membership(self, SilentStore, ManualScheduler(), lease, { targets }, Alone, {})
 
     init {
         membership.listed(StorePage(listOf(stored("a", 3)), 3), 0, returnBy = null)
--- /dev/null
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/peer/FleetExchangeSpec.kt
@@ -0,0 +1,254 @@
+/*
+ * Plays fleets of instances that tell each other their calls over links that lose and delay messages, and guards against sums that stay
+ * wrong, messages that grow with the number of instances, and live instances that are taken for lost.
+ */
+package io.skylarkstile.gateway.peer
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.doubles.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.skylarkstile.core.placement.Popularity
+import io.skylarkstile.gateway.ManualScheduler
+import io.skylarkstile.gateway.adapter.AdapterHolder
+import io.skylarkstile.gateway.adapter.FleetView
+import io.skylarkstile.gateway.adapter.OrderOutcome
+import io.skylarkstile.gateway.adapter.OrderStamp
+import io.skylarkstile.gateway.adapter.TargetOrder
+import io.skylarkstile.gateway.adapter.TargetOrders
+import io.skylarkstile.gateway.adapter.TargetReport
+import io.skylarkstile.gateway.admission.QuotaTolerance
+import io.skylarkstile.gateway.admission.WorkspaceShares
+import io.skylarkstile.gateway.entry
+import io.skylarkstile.gateway.membership.InstanceRecord
+import io.skylarkstile.gateway.membership.InstanceSet
+import io.skylarkstile.gateway.membership.OrderLease
+import io.skylarkstile.gateway.model.AdapterName
+import io.skylarkstile.gateway.model.AdapterVersion
+import io.skylarkstile.gateway.model.Service
+import io.skylarkstile.gateway.model.TargetEntry
+import io.skylarkstile.gateway.store.ChangesSource
+import io.skylarkstile.gateway.target.CallWeight
+import io.skylarkstile.gateway.target.TargetState
+import io.skylarkstile.gateway.target.TargetTable
+import io.skylarkstile.schema.generated.GatewayDatagram
+import io.skylarkstile.schema.peerCbor
+import java.net.InetSocketAddress
+import kotlin.random.Random
+
+/** No target here takes orders. */
+private object NoOrders : TargetOrders {
+    override fun order(
+        target: TargetEntry,
+        order: TargetOrder,
+        stamp: OrderStamp,
+        done: (OrderOutcome) -> Unit,
+    ) = Unit
+
+    override fun probe(
+        target: TargetEntry,
+        service: Service,
+        done: (Boolean) -> Unit,
+    ) = Unit
+
+    override fun report(
+        target: TargetEntry,
+        done: (TargetReport?) -> Unit,
+    ) = Unit
+}
+
+private object NoAdapters : FleetView {
+    override fun isInUse(
+        target: TargetState,
+        adapter: AdapterVersion,
+    ) = false
+
+    override fun current(name: AdapterName) = AdapterVersion(name, 1)
+
+    override fun missingModelOrNull(
+        target: TargetState,
+        held: Set<String>,
+    ): String? = null
+
+    override fun modelLoads(service: String) = 1
+
+    override fun adapterCapacity(service: String) = 0
+}
+
+private const val TARGETS = 20
+private const val LOSS = 0.02
+private const val MOST_DELAY_MS = 4L
+
+/** A fleet of [size] instances in [dataCentres] data centres. */
+private class Fleet(
+    size: Int,
+    dataCentres: Int,
+    seed: Int,
+) {
+    val scheduler = ManualScheduler()
+    val random = Random(seed)
+    val set =
+        InstanceSet(
+            List(size) {
+                InstanceRecord("i-$it", "dc-${it % dataCentres}", address(it, 1), address(it, 2), 1, emptySet())
+            }.associateBy { it.name },
+        )
+    val members = set.members.values.map(::Member)
+    private val byAddress = members.associateBy { it.record.peers }
+    var datagrams = 0
+    var bytes = 0L
+
+    private fun address(
+        index: Int,
+        port: Int,
+    ) = InetSocketAddress("10.0.${index / 200}.${1 + index % 200}", port)
+
+    inner class Member(
+        val record: InstanceRecord,
+    ) : PeerHost {
+        val targets = TargetTable().apply { repeat(TARGETS) { put(entry("t-$it")) } }
+        var isStopped = false
+        private val lease = OrderLease(record.name, 3_000)
+        private val popularity = Popularity()
+        val exchange =
+            PeerExchange(
+                record,
+                scheduler,
+                targets,
+                WorkspaceShares(QuotaTolerance(0.1, 0.0, 8_000)),
+                popularity,
+                lease,
+                PeerViews(),
+                this,
+                ::send,
+            )
+        override val isLeaving = false
+        override val isReady = true
+
+        init {
+            exchange.holder = AdapterHolder(record.name, lease, targets, NoOrders, NoAdapters, popularity, scheduler) {}
+            exchange.apply(set)
+            scheduler.after(random.nextLong(50), ::tick)
+        }
+
+        override fun noticeSuspension() = Unit
+
+        override fun adaptersChanged(target: TargetState) = Unit
+
+        override fun changesOf(peer: InstanceRecord): ChangesSource = { _, _, done -> done(null) }
+
+        private fun tick() {
+            if (!isStopped) exchange.tick()
+            scheduler.after(50, ::tick)
+        }
+
+        private fun send(
+            datagram: GatewayDatagram,
+            receivers: Collection<InetSocketAddress>,
+        ) {
+            val coded = peerCbor.encodeToByteArray(GatewayDatagram.serializer(), datagram)
+            receivers.forEach { address ->
+                datagrams++
+                bytes += coded.size
+                if (random.nextDouble() >= LOSS) scheduler.after(random.nextLong(1, MOST_DELAY_MS)) { deliver(address, datagram) }
+            }
+        }
+
+        private fun deliver(
+            address: InetSocketAddress,
+            datagram: GatewayDatagram,
+        ) {
+            val receiver = byAddress.getValue(address)
+            if (!receiver.isStopped) receiver.exchange.receive(datagram)
+        }
+    }
+
+    val live: List<Member> get() = members.filter { !it.isStopped }
+
+    /** Begins or ends calls somewhere. */
+    fun changeCalls() = live.forEach { member ->
+        member.targets.all.forEach { target ->
+            val running = target.ownWeight.calls
+            if (running > 0 && random.nextInt(4) == 0) target.end(CallWeight(1, 100, 0), null)
+            if (random.nextInt(12) == 0) target.begin(CallWeight(1, 100, 0), null)
+        }
+    }
+
+    /** Returns what is wrong in what the instances believe of the calls of the others. */
+    fun findings(): List<String> {
+        val sums = (0 until TARGETS).associate { id -> "t-$id" to live.sumOf { checkNotNull(it.targets["t-$id"]).ownWeight.calls } }
+        return live.flatMap { member ->
+            member.targets.all.mapNotNull { target ->
+                val right = checkNotNull(sums[target.id]) - target.ownWeight.calls
+                "${member.record.name} believes ${target.peerWeight.calls} of $right on ${target.id}".takeIf {
+                    target.peerWeight.calls !=
+                        right
+                }
+            }
+        }
+    }
+}
+
+class FleetExchangeSpec :
+    FunSpec({
+        test("each instance knows the calls of all others soon after the last change, in small and in large fleets") {
+            listOf(6 to 3, 40 to 3, 95 to 5).forEach { (size, dataCentres) ->
+                val fleet = Fleet(size, dataCentres, seed = size)
+                fleet.scheduler.advance(2_000)
+                repeat(10) {
+                    fleet.changeCalls()
+                    fleet.scheduler.advance(100)
+                }
+                fleet.scheduler.advance(3_000)
+                withClue("$size instances") { fleet.findings().shouldBeEmpty() }
+            }
+        }
+
+        test("what an instance sends doesn't grow with the number of instances") {
+            val each =
+                listOf(95 to 5, 300 to 5).map { (size, dataCentres) ->
+                    val fleet = Fleet(size, dataCentres, seed = size)
+                    fleet.scheduler.advance(1_000)
+                    fleet.datagrams = 0
+                    fleet.bytes = 0
+                    fleet.scheduler.advance(2_000)
+                    fleet.datagrams / 2.0 / size to fleet.bytes / 2.0 / size
+                }
+            // Each instance sends two states every 0.35 s and gets one report; aggregators tell each other beside that.
+            each.forEach { (datagrams, bytes) ->
+                datagrams shouldBeLessThan 16.0
+                bytes shouldBeLessThan 16_000.0
+            }
+        }
+
+        test("when aggregators and the next ones stop, the others know the calls again and nobody who lives is removed") {
+            val fleet = Fleet(60, 3, seed = 4)
+            fleet.scheduler.advance(2_000)
+            fleet.changeCalls()
+            val groups =
+                fleet.members
+                    .map {
+                        io.skylarkstile.gateway.membership
+                            .FleetGroups(fleet.set, it.record.name)
+                    }.first()
+            val stopped = groups.members.values.flatMap { members -> members.take(2).map { it.name } }
+            fleet.members.filter { it.record.name in stopped }.forEach { it.isStopped = true }
+            fleet.scheduler.advance(9_000)
+            fleet.findings().shouldBeEmpty()
+            val now = fleet.scheduler.now()
+            val removers = fleet.live.filter { it.exchange.isAggregator }
+            removers.size shouldBe groups.members.size
+            removers.forEach { remover ->
+                val present = fleet.live.map { it.record.name } - remover.record.name
+                val silent =
+                    fleet.set.members.keys.filter { name ->
+                        name != remover.record.name &&
+                            remover.exchange.removalTurnOrNull(name, present) != null &&
+                            now - (remover.exchange.heardAtOrNull(name) ?: 0) > 3_500
+                    }
+                (silent - stopped.toSet()).shouldBeEmpty()
+                withClue("the stopped members of its group are found") { silent.size shouldBe 2 }
+            }
+        }
+    })
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/store/KindWatchSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/store/KindWatchSpec.kt
@@ -91,12 +91,43 @@
     vararg names: String,
 ) = StoreResult.Success(StorePage(names.map { StoredObject(it, revision, "{}") }, revision))
 
+/** A watch that has listed revision 7 and may rely on what others tell. */
+private class Relying {
+    val store = ScriptedStore()
+    val scheduler = ManualScheduler()
+    val recorder = Recorder()
+    val asked = ArrayList<Long>()
+    var answer: ((ChangesSince?) -> Unit)? = null
+    val watch = KindWatch(StoreKind.Targets, store, scheduler, recorder, RelyingPace)
+
+    init {
+        watch.start()
+        store.give(page(7, "a"))
+    }
+
+    fun told(
+        changed: Long,
+        seen: Long,
+        ageMs: Long,
+    ) = watch.hear(KindView(StoreKind.Targets, changed, seen, ageMs), scheduler.now() - ageMs, scheduler.now()) { _, after, done ->
+        asked.add(after)
+        answer = done
+    }
+}
+
+private object RelyingPace : WatchPace {
+    override val waitMs = 2_500L
+    override val pauseMs = 0L
+    override val reliesOnPeers = true
+    override val mostAgeMs = 1_200L
+}
+
 class KindWatchSpec :
     FunSpec({
         val store = ScriptedStore()
         val scheduler = ManualScheduler()
         val recorder = Recorder()
-        val watch = KindWatch(StoreKind.Targets, store, scheduler, recorder, waitMs = 2_000, pauseMs = 500)
+        val watch = KindWatch(StoreKind.Targets, store, scheduler, recorder, steadyPace(waitMs = 2_000, pauseMs = 500))
 
         test("lists, watches from the list's revision, and knows how long its view is certain") {
             watch.start()
@@ -144,6 +175,51 @@
             store.give(page(32, "e"))
             recorder.returnBy shouldBe null
         }
+
+        test("an instance that relies on others asks nothing while they tell a current view, and takes their changes") {
+            val relying = Relying()
+            relying.told(changed = 7, seen = 12, ageMs = 300)
+            relying.scheduler.advance(900)
+            relying.watch.tick()
+            relying.store.calls shouldBe listOf("list", "watch 7")
+            relying.recorder.confirmedAt shouldBe -300
+            relying.told(changed = 14, seen = 15, ageMs = 300)
+            relying.asked shouldBe listOf(12L)
+            relying.answer?.invoke(ChangesSince(15, null, listOf(StoredObject("b", 14, "{}"))))
+            relying.recorder.seen.last() shouldBe "changed [b] false"
+            // The answer to the watch that was under way is about an earlier revision and would bring old states back.
+            relying.store.give(page(9, "old"))
+            relying.recorder.seen.last() shouldBe "changed [b] false"
+        }
+
+        test("an instance that relies on others asks the store as soon as what they tell is too old, from the revision it knows") {
+            val relying = Relying()
+            relying.told(changed = 7, seen = 12, ageMs = 300)
+            relying.scheduler.advance(600)
+            // The aggregator can't see the store any more, so the age of its view grows.
+            relying.told(changed = 7, seen = 12, ageMs = 1_201)
+            relying.scheduler.advance(400)
+            relying.watch.tick()
+            relying.store.calls.last() shouldBe "watch 12"
+        }
+
+        test("an instance whose changes can't be told asks the store at once") {
+            val relying = Relying()
+            relying.told(changed = 7, seen = 12, ageMs = 0)
+            relying.told(changed = 14, seen = 15, ageMs = 0)
+            relying.answer?.invoke(null)
+            relying.store.calls.last() shouldBe "watch 12"
+        }
+
+        test("an instance that was suspended believes nothing that was told in answer to a message from before") {
+            val relying = Relying()
+            relying.scheduler.advance(1_000)
+            val askedAt = relying.scheduler.now()
+            relying.watch.forget(askedAt + 1)
+            relying.scheduler.advance(100)
+            relying.watch.hear(KindView(StoreKind.Targets, 7, 12, 0), askedAt, askedAt) { _, _, _ -> }
+            relying.watch.viewOrNull(relying.scheduler.now()) shouldBe null
+        }
     })
 
 /** Lets the watch fail once and succeed again without a change. */
