Bound what a target in trouble can send, and look at the clocks before each permission

Weakness, from the users' list: bytes without end, a late second answer on a used connection, and a process that acts on a permission that ran out while it stood still.

After a suspension, calls that waited in socket buffers are read before any timer fires, and steady time hasn't moved, so keys and the right to give orders still looked confirmed. The clocks are now compared at each admission of a keyed call and before each order (ConfigurationSpec plays it with the two clocks; without the change the second call is admitted).

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterHolder.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterHolder.kt
@@ -51,6 +51,9 @@
 
     /** Returns the places of a target of [service], or 0 where it has no engine. */
     fun adapterCapacity(service: String): Int
+
+    /** Notices that this process stood still, before the right to give an order is looked at. */
+    fun noticeSuspension() = Unit
 }
 
 /** Orders the held targets for the instance [name]; [onChange] is called with a target whose adapters have changed. Not thread-safe. */
@@ -127,6 +130,7 @@
         if (!known.target.entry.isReady) return
         // Reports are read before orders may be given, so that calls find what is there.
         if (known.book.needsReport) return report(known, now)
+        fleet.noticeSuspension()
         val token = lease.tokenOrNull(known.target.id, now) ?: return
         val next = nextOrNull(known, now)
         // Publishing lets waiting calls look again, which may come back here, so the target counts as busy first.
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/CallAdmission.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/CallAdmission.kt
@@ -33,6 +33,8 @@
 class CallAdmission(
     private val shares: WorkspaceShares,
     private val keyFreshness: Freshness,
+    /** Notices that this process stood still: calls that waited meanwhile are read before any timer fires. */
+    private val noticeSuspension: () -> Unit = {},
 ) {
     /** Decides about [call] under [configuration], which is null before the first one was read. */
     fun admit(
@@ -43,6 +45,7 @@
         if (configuration == null) return Admission.Refused(503, "no-configuration", UNREADY_RETRY_MS)
         val route = configuration.routeOrNull(call.host, call.path) ?: return Admission.Refused(404, "no-route", null)
         if (route.isPublic) return Admission.Admitted(route, null, 0)
+        noticeSuspension()
         if (!keyFreshness.isFresh(now)) return Admission.Refused(503, "keys-out-of-date", UNREADY_RETRY_MS)
         if (configuration.workspaces.isEmpty()) return Admission.Admitted(route, null, 0)
         val workspace = call.key?.let(configuration::workspaceOrNull) ?: return Admission.Refused(401, "unknown-key", null)
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/http/ControlClient.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/http/ControlClient.kt
@@ -25,7 +25,11 @@
 import io.skylarkstile.gateway.main.Timer
 import java.net.InetSocketAddress
 
-private const val MAX_ANSWER_BYTES = 16 * 1024 * 1024
+/** Largest answer of the store: a page of a list. */
+const val STORE_ANSWER_BYTES = 16 * 1024 * 1024
+
+/** Largest answer of a target to an order, a report or a probe: one in trouble may send bytes without end. */
+const val TARGET_ANSWER_BYTES = 256 * 1024
 private const val CONNECT_TIMEOUT_MS = 800
 
 /** Idle connections older than this are not used again: the other end may have dropped them silently, in milliseconds. */
@@ -53,10 +57,11 @@
     ) : ControlResult
 }
 
-/** Makes short calls on [loop]. Not thread-safe. */
+/** Makes short calls on [loop]; an answer of more than [mostBytes] is a failure. Not thread-safe. */
 class ControlClient(
     private val loop: EventLoop,
     private val scheduler: Scheduler,
+    private val mostBytes: Int,
 ) {
     private class Idle(
         val channel: Channel,
@@ -100,7 +105,7 @@
                 .handler(
                     object : ChannelInitializer<Channel>() {
                         override fun initChannel(channel: Channel) {
-                            channel.pipeline().addLast(HttpClientCodec(), HttpObjectAggregator(MAX_ANSWER_BYTES), AnswerHandler())
+                            channel.pipeline().addLast(HttpClientCodec(), HttpObjectAggregator(mostBytes), AnswerHandler())
                         }
                     },
                 )
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -28,6 +28,7 @@
 import io.skylarkstile.gateway.admission.SuspensionDetector
 import io.skylarkstile.gateway.admission.WorkspaceShares
 import io.skylarkstile.gateway.http.ControlClient
+import io.skylarkstile.gateway.http.STORE_ANSWER_BYTES
 import io.skylarkstile.gateway.membership.InstanceRecord
 import io.skylarkstile.gateway.membership.Membership
 import io.skylarkstile.gateway.membership.OrderLease
@@ -115,7 +116,7 @@
     private val self =
         InstanceRecord(settings.instance, settings.dataCentre, settings.callers, settings.peers, startedAt, emptySet(), settings.linkMbps)
     private val views = PeerViews()
-    private val peerClient = ControlClient(loop, scheduler)
+    private val peerClient = ControlClient(loop, scheduler, STORE_ANSWER_BYTES)
     private val targets = TargetTable()
     private val shares =
         WorkspaceShares(QuotaTolerance(settings.bounds.quotaOverage, settings.bounds.quotaSlack, settings.bounds.quotaWindowMs))
@@ -146,7 +147,7 @@
             targets,
             choice,
             AdapterPlacement(choice),
-            CallAdmission(shares, keyFreshness),
+            CallAdmission(shares, keyFreshness, ::noticeSuspension),
             exchange,
             random::nextDouble,
         )
@@ -201,6 +202,8 @@
     }
 
     private inner class Fleet : FleetView {
+        override fun noticeSuspension() = this@Gateway.noticeSuspension()
+
         override fun isInUse(
             target: TargetState,
             adapter: AdapterVersion,
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -40,6 +40,9 @@
 /** Answers up to this size are read whole before they are passed on, so that one that breaks off can be asked for again, in bytes. */
 private const val WHOLE_ANSWER_BYTES = 65_536
 
+/** Bytes read at most of an answer that isn't passed on. */
+private const val MOST_DISCARDED_BYTES = 65_536
+
 /** A call goes to at most this many targets, also where none of them ran it. */
 private const val MOST_ARRIVALS = 4
 
@@ -90,6 +93,7 @@
     private var mayHaveRun = false
     private var attempt: Attempt? = null
     private var gathered: ByteBuf? = null
+    private var discarded = 0
     private var gatheredHead: HttpResponse? = null
     private var waitTimer: Timer? = null
     private var silenceTimer: Timer? = null
@@ -323,6 +327,7 @@
                 else -> Mode.Gather
             }
         gatheredHead = response
+        discarded = 0
         if (mode == Mode.Gather) gathered = Unpooled.buffer()
         if (mode == Mode.PassOn && !isBegun) begin(response)
     }
@@ -350,10 +355,23 @@
         when (mode) {
             Mode.Gather -> gather(data)
             Mode.PassOn -> passOn(data)
-            Mode.Discard, Mode.Undecided -> Unit
+            Mode.Discard -> discard(data)
+            Mode.Undecided -> Unit
         }
     }
 
+    /** An answer that isn't passed on counts as whole once it has brought too much: what follows may never end. */
+    private fun discard(data: ByteBuf) {
+        discarded += data.readableBytes()
+        if (discarded > MOST_DISCARDED_BYTES) complete()
+    }
+
+    private fun endless() {
+        val running = attempt ?: return
+        running.target.health.failed(serving.scheduler.now())
+        failed(running, "an event without end")
+    }
+
     private fun gather(data: ByteBuf) {
         val whole = gathered ?: return
         whole.writeBytes(data)
@@ -370,6 +388,7 @@
         } else {
             val whole = events.add(ByteBufUtil.getBytes(data))
             if (whole.isNotEmpty()) caller.part(Unpooled.wrappedBuffer(whole))
+            if (events.isEndless) return endless()
         }
         if (!caller.isWritable) attempt?.connection?.setReading(false)
     }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/EventSplitter.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/EventSplitter.kt
@@ -10,6 +10,9 @@
 private const val CR = '\r'.code.toByte()
 private val idField = "id:".encodeToByteArray()
 
+/** An event that grows beyond this isn't one: a target in trouble may send bytes without end, and all of an event is kept until it is whole. */
+const val MOST_EVENT_BYTES = 256 * 1024
+
 /** Holds back an event until it is whole. Not thread-safe. */
 class EventSplitter {
     private val pending = ByteArrayOutputStream()
@@ -23,6 +26,9 @@
     /** Number of bytes held back. */
     val heldBytes: Int get() = pending.size()
 
+    /** True when the event that is held back is too large to be one. */
+    val isEndless: Boolean get() = heldBytes > MOST_EVENT_BYTES
+
     /** Takes [data] and returns the bytes of all events that are whole now. */
     fun add(data: ByteArray): ByteArray {
         val whole = ByteArrayOutputStream()
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetConnection.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetConnection.kt
@@ -63,6 +63,7 @@
     private var written: ChannelFuture? = null
     private var answer: AnswerHead? = null
     private var isSkipping = false
+    private var calls = 0
     private var isClosing = false
     private var failure: String? = null
 
@@ -85,6 +86,7 @@
     ) {
         this.callId = callId
         this.listener = listener
+        calls++
         answer = null
         decoder.isBodyless = method == HttpMethod.HEAD
         val request = DefaultHttpRequest(HttpVersion.HTTP_1_1, method, uri, headers)
@@ -133,11 +135,19 @@
         val head = codec.readAnswer(response)
         isSkipping = head.status < FIRST_FINAL_STATUS || (head.callId != null && head.callId != callId)
         if (isSkipping) return
+        if (isDoubtful(head)) {
+            failure = "a success that names no call, on a connection that was used before"
+            channel.close()
+            return
+        }
         answer = head
         if (!HttpUtil.isKeepAlive(response)) isClosing = true
         receiver.head(head, response)
     }
 
+    /** A target may answer twice, so a success that doesn't say to which call could belong to the one before. */
+    private fun isDoubtful(head: AnswerHead): Boolean = calls > 1 && head.callId == null && head.status in SUCCESSES
+
     private fun content(part: HttpContent) {
         val receiver = listener
         if (part.decoderResult().isFailure) {
@@ -180,6 +190,7 @@
 
     private companion object {
         const val FIRST_FINAL_STATUS = 200
+        val SUCCESSES = 200..299
     }
 }
 
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/model/ConfigurationSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/model/ConfigurationSpec.kt
@@ -11,6 +11,7 @@
 import io.skylarkstile.gateway.admission.CallAdmission
 import io.skylarkstile.gateway.admission.Freshness
 import io.skylarkstile.gateway.admission.QuotaTolerance
+import io.skylarkstile.gateway.admission.SuspensionDetector
 import io.skylarkstile.gateway.admission.WorkspaceShares
 import io.skylarkstile.gateway.configuration
 import io.skylarkstile.gateway.route
@@ -58,4 +59,20 @@
             statusOf(call("/open/x"), 9_000) shouldBe "public"
             admission.admit(0, call("/a/"), null) shouldBe Admission.Refused(503, "no-configuration", 500)
         }
+
+        // After a suspension, calls that waited in socket buffers are read before any timer fires, and steady time hasn't moved.
+        test("a call that waited while the machine stood still is refused until the keys are known to be current again") {
+            val freshness = Freshness(4_000)
+            val detector = SuspensionDetector(0, 1_000_000)
+            var wall = 1_000_000L
+            val admission =
+                CallAdmission(WorkspaceShares(QuotaTolerance(0.0, 0.0, 8_000)), freshness) {
+                    if (detector.check(50, wall)) freshness.forget(50)
+                }
+            freshness.confirm(0)
+            wall += 50
+            (admission.admit(50, call("/a/", "key-1"), configuration) is Admission.Admitted) shouldBe true
+            wall += 10_000
+            (admission.admit(50, call("/a/", "key-1"), configuration) as Admission.Refused).status shouldBe 503
+        }
     })
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/relay/EventSplitterSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/relay/EventSplitterSpec.kt
@@ -42,4 +42,12 @@
             splitter.lastId shouldBe "4"
             splitter.heldBytes shouldBe 7
         }
+
+        test("an event that grows beyond any size an event has is found endless") {
+            val splitter = EventSplitter()
+            splitter.add("id: 1\ndata: ${"x".repeat(MOST_EVENT_BYTES / 2)}\n\n".toByteArray())
+            splitter.isEndless shouldBe false
+            splitter.add("data: ${"x".repeat(MOST_EVENT_BYTES)}".toByteArray())
+            splitter.isEndless shouldBe true
+        }
     })
