--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -32,6 +32,7 @@
 import io.skylarkstile.gateway.membership.InstanceRecord
 import io.skylarkstile.gateway.membership.Membership
 import io.skylarkstile.gateway.membership.OrderLease
+import io.skylarkstile.gateway.membership.membershipOf
 import io.skylarkstile.gateway.membership.textOf
 import io.skylarkstile.gateway.model.AdapterName
 import io.skylarkstile.gateway.model.AdapterVersion
@@ -73,10 +74,13 @@
 
 /** An aggregator's watch waits at most this part of the drain bound, and others rely on a view that is at most this part of it old. */
 private const val READER_WAIT_SHARE = 0.25
-private const val TOLD_AGE_SHARE = 0.6
+private const val TOLD_AGE_SHARE = 0.7
+
+/** Changes that an aggregator gathers wait this part of its watch's time. */
+private const val READER_PAUSE_PARTS = 4
 
 /** The same for instances and versions, in milliseconds: less than orders may be given after a confirmation. */
-private const val RECORD_WAIT_MS = 1_500L
+private const val RECORD_WAIT_MS = 1_200L
 private const val RECORD_AGE_MS = 3_000L
 
 /** Changes of targets are read together within this part of the drain bound: each call to the store is priced. */
@@ -165,7 +169,7 @@
         )
     private val probes = TargetProbes(targets, ::probe, scheduler::now) { serving.targetDead(it) }
     private val membership =
-        Membership(self, ports.store, scheduler, lease, { targets.all.map { it.id } }, exchange, exchange::apply)
+        Membership(self, ports.store, scheduler, lease, { targets.all.map { it.id } }, exchange, exchange::apply, ::listInstances)
     private val suspension = SuspensionDetector(scheduler.now(), System.currentTimeMillis())
     private val callers = HashSet<CallerConnection>()
     private var ticks = 0
@@ -197,7 +201,8 @@
         override val mostAgeMs: Long,
     ) : WatchPace {
         override val waitMs: Long get() = if (exchange.isAggregator) readerWaitMs else WATCH_MS
-        override val pauseMs: Long get() = if (exchange.isAggregator) minOf(ownPauseMs, readerWaitMs) else ownPauseMs
+        override val pauseMs: Long get() = if (exchange.isAggregator) minOf(ownPauseMs, readerWaitMs / READER_PAUSE_PARTS) else ownPauseMs
+        override val confirmsSoon: Boolean get() = exchange.isAggregator
         override val reliesOnPeers: Boolean get() = !exchange.readsStore
     }
 
@@ -263,7 +268,7 @@
         ) { ports.records.target(it).get() }
         val recordPace = FleetPace(RECORD_PAUSE_MS, RECORD_WAIT_MS, RECORD_AGE_MS)
         follow(StoreKind.AdapterVersions, VersionListener(ports.records, serving.versions), recordPace)
-        follow(StoreKind.Instances, membership, recordPace)
+        follow(StoreKind.Instances, membership, recordPace, ::membershipOf)
         scheduler.after(TICK_MS, ::tick)
         log.event(
             Level.INFO,
@@ -338,6 +343,11 @@
             lines.joinToString("\n")
     }
 
+    /** A record was found to be newer than the view, which leaves out what doesn't matter to other instances. */
+    private fun listInstances() {
+        views.watchOrNull(StoreKind.Instances)?.listAnew()
+    }
+
     private fun follow(
         kind: StoreKind,
         listener: KindListener,
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/Membership.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/Membership.kt
@@ -35,6 +35,7 @@
     private val targetIds: () -> Collection<String>,
     private val presence: PeerPresence,
     private val onChange: (InstanceSet) -> Unit,
+    private val listAnew: () -> Unit = {},
 ) : KindListener {
     private class Known(
         val record: InstanceRecord,
@@ -96,19 +97,21 @@
         val now = scheduler.now()
         if (!isListed || isStopped || isWriting || now < writeAt) return
         val own = known[self.name]
-        val settled = lease.settledOrNull(now) ?: own?.record?.settled.orEmpty()
+        val settled = lease.settledOrNull(now)
         when {
             own == null -> write(self, null, now)
-            own.record.startedAt != self.startedAt || own.record.settled != settled ->
-                write(
-                    self.copy(settled = settled),
-                    own.revision,
-                    now,
-                )
+            own.record.startedAt != self.startedAt || (settled != null && differs(own.record.settled, settled)) ->
+                write(self.copy(settled = settled ?: own.record.settled), own.revision, now)
             else -> removeLost(now)
         }
     }
 
+    /** Targets that are gone may stay in the record: nobody can become their holder. */
+    private fun differs(
+        recorded: Set<String>,
+        settled: Set<String>,
+    ): Boolean = settled.any { it !in recorded } || targetIds().any { it in recorded && it !in settled }
+
     /** Ends writing; the record stays for the next process of this machine, or until the others miss it. */
     fun stop() {
         isStopped = true
@@ -145,6 +148,8 @@
         now: Long,
         before: Known?,
     ) {
+        // What others tell may be older than the answer to an own write.
+        if (before != null && before.revision > item.revision) return
         val record = item.spec?.let { recordOrNull(item.name, it) }
         if (record == null) {
             log.event(Level.WARN, "record-unreadable", "name" to item.name) { "record of instance ${item.name} can't be read" }
@@ -162,10 +167,13 @@
         val spec = recordJson.encodeToString(GatewayInstance.serializer(), stored(record))
         val done = { result: StoreResult<StoredObject> ->
             isWriting = false
-            writeAt = scheduler.now() + if (result is StoreResult.Success) 0 else WRITE_PAUSE_MS
+            writeAt = scheduler.now() + if (result is StoreResult.Success) GATHER_MS else WRITE_PAUSE_MS
             when (result) {
                 is StoreResult.Success -> known[self.name] = Known(record, result.value.revision, now)
-                else -> log.event(Level.WARN, "own-record-not-written", "result" to "$result") { "own record not written" }
+                else -> {
+                    log.event(Level.WARN, "own-record-not-written", "result" to "$result") { "own record not written" }
+                    if (result == StoreResult.Conflict) listAnew()
+                }
             }
         }
         if (expected ==
@@ -199,6 +207,7 @@
         store.remove(StoreKind.Instances, name, gone.revision) { result ->
             isWriting = false
             writeAt = scheduler.now() + WRITE_PAUSE_MS
+            if (result == StoreResult.Conflict) listAnew()
             if (result !is StoreResult.Success) {
                 log.event(Level.WARN, "instance-not-removed", "instance" to name, "result" to "$result") { "instance $name not removed" }
             }
@@ -220,30 +229,36 @@
         linkMbps = record.linkMbps,
     )
 
-    private fun recordOrNull(
-        name: String,
-        spec: String,
-    ): InstanceRecord? = try {
-        val stored = recordJson.decodeFromString(GatewayInstance.serializer(), spec)
-        InstanceRecord(
-            name,
-            stored.dataCentre,
-            addressOf(stored.callers),
-            addressOf(stored.peers),
-            stored.startedAt,
-            stored.settled.toSet(),
-            stored.linkMbps ?: 0,
-        )
-    } catch (e: IllegalArgumentException) {
-        log.event(Level.DEBUG, "record-malformed", "name" to name) { e.message ?: "malformed" }
-        null
-    }
-
     private companion object {
         const val WRITE_PAUSE_MS = 300L
+
+        /** Changes of the own record within this time are written together, in milliseconds. */
+        const val GATHER_MS = 1_500L
     }
 }
 
+/** Returns what matters of an instance's record to other instances, or null when it can't be read. */
+internal fun membershipOf(item: StoredObject): InstanceRecord? = item.spec?.let { recordOrNull(item.name, it) }?.copy(settled = emptySet())
+
+private fun recordOrNull(
+    name: String,
+    spec: String,
+): InstanceRecord? = try {
+    val stored = recordJson.decodeFromString(GatewayInstance.serializer(), spec)
+    InstanceRecord(
+        name,
+        stored.dataCentre,
+        addressOf(stored.callers),
+        addressOf(stored.peers),
+        stored.startedAt,
+        stored.settled.toSet(),
+        stored.linkMbps ?: 0,
+    )
+} catch (e: IllegalArgumentException) {
+    log.event(Level.DEBUG, "record-malformed", "name" to name) { e.message ?: "malformed" }
+    null
+}
+
 /** Returns [address] as `ip:port`. */
 fun textOf(address: InetSocketAddress): String = "${address.address.hostAddress}:${address.port}"
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerChanges.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerChanges.kt
@@ -59,14 +59,18 @@
     }
 }
 
-private fun textOf(changes: ChangesSince): String = recordJson.encodeToString(
-    StoreChanges.serializer(),
-    StoreChanges(changes.seen, changes.objects.map { ChangedObject(it.name, it.revision, it.spec) }, changes.returnInMs),
-)
+/** Returns [changes] as one instance tells them to another. */
+internal fun toldOf(changes: ChangesSince) =
+    StoreChanges(changes.seen, changes.objects.map { ChangedObject(it.name, it.revision, it.spec) }, changes.returnInMs)
 
-private fun changesOrNull(text: String): ChangesSince? = try {
-    val told = recordJson.decodeFromString(StoreChanges.serializer(), text)
+/** Returns the changes that another instance has [told]. */
+internal fun changesIn(told: StoreChanges) =
     ChangesSince(told.seen, told.returnInMs, told.objects.map { StoredObject(it.name, it.revision, it.spec) })
+
+private fun textOf(changes: ChangesSince): String = recordJson.encodeToString(StoreChanges.serializer(), toldOf(changes))
+
+private fun changesOrNull(text: String): ChangesSince? = try {
+    changesIn(recordJson.decodeFromString(StoreChanges.serializer(), text))
 } catch (e: IllegalArgumentException) {
     log.event(Level.WARN, "changes-malformed") { e.message ?: "malformed" }
     null
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerViews.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerViews.kt
@@ -6,6 +6,7 @@
 import io.skylarkstile.gateway.store.ChangesSource
 import io.skylarkstile.gateway.store.KindView
 import io.skylarkstile.gateway.store.KindWatch
+import io.skylarkstile.gateway.store.LatestChanges
 import io.skylarkstile.gateway.store.StoreKind
 import io.skylarkstile.schema.generated.StoreView
 
@@ -42,7 +43,9 @@
     /** Returns what can be told to others. */
     fun told(now: Long): List<StoreView> = watches.values
         .mapNotNull { it.viewOrNull(now) }
-        .map { StoreView(it.kind.name, it.changed, it.seen, it.ageMs) }
+        .map { view ->
+            StoreView(view.kind.name, view.changed, view.seen, view.ageMs, view.latest?.after, view.latest?.let { toldOf(it.changes) })
+        }
 
     /** Takes the [views] of an instance that had heard the message sent at [askedAt]; [source] hands out its changes. */
     fun hear(
@@ -52,7 +55,10 @@
     ) = views.forEach { view ->
         val kind = StoreKind.entries.firstOrNull { it.name == view.kind }
         if (kind != null && view.ageMs >= 0) {
-            watches[kind]?.hear(KindView(kind, view.changed, view.seen, view.ageMs), askedAt - view.ageMs, askedAt, source)
+            val changes = view.changes?.let(::changesIn)
+            val latest = view.after?.let { after -> changes?.let { LatestChanges(after, it) } }
+            val heard = KindView(kind, view.changed, view.seen, view.ageMs, latest)
+            watches[kind]?.hear(heard, askedAt - view.ageMs, askedAt, source)
         }
     }
 }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/ChangeLog.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/ChangeLog.kt
@@ -7,6 +7,12 @@
 /** Changes are kept this long, in milliseconds; an instance that is further behind asks the store. */
 private const val KEPT_MS = 15_000L
 
+/** Changes are told of themselves for this long, in milliseconds: a few reports, since one may be lost. */
+private const val LATEST_MS = 1_500L
+
+/** Contents of changes that are told of themselves, in characters; larger ones are asked for. */
+private const val LATEST_CHARS = 4_000
+
 /** Changes kept at most, which bounds the memory while many objects change. */
 private const val MOST_CHANGES = 512
 
@@ -77,6 +83,17 @@
         return ChangesSince(seen, later.mapNotNull { it.returnBy }.maxOrNull()?.let { maxOf(0, it - now) }, later.map { it.item })
     }
 
+    /** Returns the changes of the last moments, as of [seen], for those that are about to hear of them; null when there are none, or large. */
+    fun latestOrNull(
+        seen: Long,
+        now: Long,
+    ): LatestChanges? {
+        val recent = changes.filter { now - it.at <= LATEST_MS }
+        if (recent.isEmpty() || recent.sumOf { it.item.spec?.length ?: 0 } > LATEST_CHARS) return null
+        val after = changes.lastOrNull { now - it.at > LATEST_MS }?.pageRevision ?: completeAfter ?: return null
+        return afterOrNull(after, seen, now)?.let { LatestChanges(after, it) }
+    }
+
     private fun matters(item: StoredObject): Boolean {
         val content = item.spec?.let { contentOf(item) }
         val before = if (content == null) contents.remove(item.name) else contents.put(item.name, content)
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/KindWatch.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/KindWatch.kt
@@ -45,12 +45,22 @@
     )
 }
 
-/** What an instance tells of its view: all changes up to [seen] are known, the last one is of [changed], and it was current [ageMs] ago. */
+/**
+ * What an instance tells of its view: all changes up to [seen] are known, the last one is of [changed], and it was current [ageMs] ago.
+ * [latest] holds the changes after some earlier revision when they are small.
+ */
 data class KindView(
     val kind: StoreKind,
     val changed: Long,
     val seen: Long,
     val ageMs: Long,
+    val latest: LatestChanges? = null,
+)
+
+/** The [changes] after revision [after]. */
+data class LatestChanges(
+    val after: Long,
+    val changes: ChangesSince,
 )
 
 /** Asks the instance that told a view for the changes after a revision; the answer is null when it can't tell them. */
@@ -79,6 +89,7 @@
     /** Number of the question under way; an answer to an earlier one is of no use any more. */
     private var question = 0L
     private var isRelying = false
+    private var wasChanged = false
     private var isFetching = false
 
     /** Time at which the view of another instance that this one relies on was current. */
@@ -100,6 +111,13 @@
         next()
     }
 
+    /** Lists all objects again, because one was found to be another than this view shows. */
+    fun listAnew() {
+        revision = null
+        isRelying = false
+        next()
+    }
+
     /** Forgets how current the view is, because this process stood still for an unknown time. */
     fun forget(now: Long) {
         current.forget(now)
@@ -109,7 +127,8 @@
     /** Returns what this instance can tell others, or null while its view isn't known to be current. */
     fun viewOrNull(now: Long): KindView? {
         val seen = revision ?: return null
-        return KindView(kind, changeLog.changed, seen, current.ageOrNull(now) ?: return null)
+        val ageMs = current.ageOrNull(now) ?: return null
+        return KindView(kind, changeLog.changed, seen, ageMs, changeLog.latestOrNull(seen, now))
     }
 
     /** Returns the changes after [revision] for another instance, or null when it has to ask the store. */
@@ -132,6 +151,8 @@
         val known = revision ?: return
         if (stopped || view.seen < known || now - at > pace.mostAgeMs) return
         if (!pace.reliesOnPeers && (current.ageOrNull(now) ?: Long.MAX_VALUE) <= pace.mostAgeMs) return
+        val latest = view.latest
+        if (view.changed > known && latest != null && latest.after <= known) return fetched(latest.changes, at, askedAt)
         if (view.changed > known) return fetch(at, askedAt, source)
         revision = view.seen
         confirm(at, askedAt, view.seen)
@@ -175,7 +196,8 @@
         // A question under way is about an earlier revision; its answer would bring old states back.
         val wasAsking = !isRelying
         question++
-        apply(StorePage(changes.objects, changes.seen), now, changes.returnInMs?.let { now + it } ?: returnByOrNull(now))
+        val news = changes.objects.filter { it.spec == null || it.revision > (revision ?: 0) }
+        apply(StorePage(news, changes.seen), now, changes.returnInMs?.let { now + it } ?: returnByOrNull(now))
         confirm(at, askedAt, changes.seen)
         if (pace.reliesOnPeers) {
             rely(at)
@@ -191,7 +213,9 @@
         val after = revision
         val sentAt = scheduler.now()
         val asked = ++question
-        val waitMs = pace.waitMs
+        // After a change the view is known to be current only as of the question, so the next answer should come sooner.
+        val waitMs = if (wasChanged) pace.waitMs / CONFIRM_PARTS else pace.waitMs
+        wasChanged = false
         if (after == null) {
             store.list(kind) { if (asked == question) listed(it, sentAt) }
         } else {
@@ -235,6 +259,7 @@
         }
         apply(page, now, returnByOrNull(now))
         confirm(sentAt, sentAt, page.revision)
+        wasChanged = pace.confirmsSoon
         val pauseMs = pace.pauseMs
         if (pauseMs > 0) nextAfter(pauseMs) else next()
     }
@@ -287,5 +312,8 @@
     private companion object {
         /** Entries that lapsed during an outage of the store are back within this time of its return, in milliseconds. */
         const val RETURN_MS = 2_200L
+
+        /** The first watch after a change waits this part of the usual time, where others rely on the view. */
+        const val CONFIRM_PARTS = 3
     }
 }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/WatchPace.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/WatchPace.kt
@@ -11,6 +11,9 @@
     /** Time after a change in which further ones are gathered. */
     val pauseMs: Long
 
+    /** True while others rely on this view, so that it has to be confirmed soon after a change. */
+    val confirmsSoon: Boolean get() = false
+
     /** True while this instance may rely on another one's view. */
     val reliesOnPeers: Boolean
 
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/membership/MembershipSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/membership/MembershipSpec.kt
@@ -52,6 +52,35 @@
     ) = Unit
 }
 
+private val self =
+    InstanceRecord("a", "dc", InetSocketAddress("127.0.0.1", 1), InetSocketAddress("127.0.0.1", 2), 1, emptySet())
+
+/** Takes writes of the own record and counts the targets in them; removals end with [onRemove]. */
+private class WritingStore(
+    private val onRemove: StoreResult<Unit> = StoreResult.Success(Unit),
+) : SharedStore by SilentStore {
+    val written = ArrayList<Int>()
+    private var revision = 100L
+
+    override fun replace(
+        kind: StoreKind,
+        name: String,
+        spec: String,
+        revision: Long?,
+        done: (StoreResult<StoredObject>) -> Unit,
+    ) {
+        written.add(recordJson.decodeFromString(GatewayInstance.serializer(), spec).settled.size)
+        done(StoreResult.Success(StoredObject(name, ++this.revision, spec)))
+    }
+
+    override fun remove(
+        kind: StoreKind,
+        name: String,
+        revision: Long,
+        done: (StoreResult<Unit>) -> Unit,
+    ) = done(onRemove)
+}
+
 /** Nobody else was heard. */
 private object Alone : PeerPresence {
     override fun heardAtOrNull(name: String): Long? = null
@@ -75,8 +104,6 @@
 
 private class Fixture {
     val lease = OrderLease("a", 3_000)
-    private val self =
-        InstanceRecord("a", "dc", InetSocketAddress("127.0.0.1", 1), InetSocketAddress("127.0.0.1", 2), 1, emptySet())
     val membership = Membership(self, SilentStore, ManualScheduler(), lease, { targets }, Alone, {})
 
     init {
@@ -118,6 +145,46 @@
             fixture.membership.confirmed(20_000, 20_000, 30)
             fixture.ordered(20_000) shouldBe 0
         }
+
+        // Each write of a record reaches all instances, so a fleet whose targets come and go wrote with the product of both numbers.
+        test("the own record isn't written when targets go, and changes of it are written together") {
+            val store = WritingStore()
+            val scheduler = ManualScheduler()
+            val known = targets.toMutableList()
+            val lease = OrderLease("a", 3_000)
+            val membership = Membership(self, store, scheduler, lease, { known }, Alone, {})
+            membership.listed(StorePage(listOf(stored("a", 3)), 3), 0, returnBy = null)
+
+            fun tend(ms: Int) = repeat(ms / 250) {
+                scheduler.advance(250)
+                membership.confirmed(scheduler.now(), scheduler.now(), 3)
+                lease.refresh(known)
+                membership.tend()
+            }
+            tend(9_000)
+            store.written shouldBe listOf(targets.size)
+            known.removeAt(0)
+            tend(3_000)
+            store.written.size shouldBe 1
+            (1..5).forEach {
+                known.add("new-$it")
+                tend(250)
+            }
+            tend(3_000)
+            (store.written.size <= 3) shouldBe true
+            store.written.last() shouldBe known.size
+        }
+
+        test("an instance whose record has changed unseen is listed anew before it is removed") {
+            val store = WritingStore(StoreResult.Conflict)
+            val scheduler = ManualScheduler()
+            var lists = 0
+            val membership = Membership(self, store, scheduler, OrderLease("a", 3_000), { emptyList() }, Alone, {}) { lists++ }
+            membership.listed(StorePage(listOf(stored("a", 3), stored("b", 4)), 4), 0, returnBy = null)
+            scheduler.advance(4_000)
+            membership.tend()
+            lists shouldBe 1
+        }
     })
 
 private fun record(name: String) =
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/store/KindWatchSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/store/KindWatchSpec.kt
@@ -109,7 +109,8 @@
         changed: Long,
         seen: Long,
         ageMs: Long,
-    ) = watch.hear(KindView(StoreKind.Targets, changed, seen, ageMs), scheduler.now() - ageMs, scheduler.now()) { _, after, done ->
+        latest: LatestChanges? = null,
+    ) = watch.hear(KindView(StoreKind.Targets, changed, seen, ageMs, latest), scheduler.now() - ageMs, scheduler.now()) { _, after, done ->
         asked.add(after)
         answer = done
     }
@@ -211,6 +212,17 @@
             relying.store.calls.last() shouldBe "watch 12"
         }
 
+        test("small changes come with the view itself, and those that are known already aren't applied again") {
+            val relying = Relying()
+            relying.told(changed = 7, seen = 12, ageMs = 0)
+            val changes = ChangesSince(15, null, listOf(StoredObject("old", 9, "{}"), StoredObject("b", 14, "{}")))
+            relying.told(changed = 14, seen = 15, ageMs = 100, latest = LatestChanges(8, changes))
+            relying.asked.isEmpty() shouldBe true
+            relying.recorder.seen.last() shouldBe "changed [b] false"
+            relying.told(changed = 20, seen = 21, ageMs = 100, latest = LatestChanges(18, ChangesSince(21, null, emptyList())))
+            relying.asked shouldBe listOf(15L)
+        }
+
         test("an instance that was suspended believes nothing that was told in answer to a message from before") {
             val relying = Relying()
             relying.scheduler.advance(1_000)
