--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -65,9 +65,10 @@
 
 private val log = KotlinLogging.logger {}
 
-/** Regular work is done this often, in milliseconds. */
+/** Regular work is done this often, in milliseconds; in a large fleet, where each message is further apart, less often. */
 private const val TICK_MS = 50L
-private const val SLOW_TICKS = 5
+private const val FLEET_TICK_MS = 125L
+private const val SLOW_TICK_MS = 250L
 
 /** Longest wait of one watch, in milliseconds: a connection that went silent hides changes no longer than this and a call's time limit. */
 private const val WATCH_MS = 2_500L
@@ -172,7 +173,7 @@
         Membership(self, ports.store, scheduler, lease, { targets.all.map { it.id } }, exchange, exchange::apply, ::listInstances)
     private val suspension = SuspensionDetector(scheduler.now(), System.currentTimeMillis())
     private val callers = HashSet<CallerConnection>()
-    private var ticks = 0
+    private var slowTickAt = 0L
     private var listening: Channel? = null
 
     private inner class Gauges : GatewayGauges {
@@ -384,8 +385,8 @@
         val now = scheduler.now()
         exchange.tick()
         probes.tick(now)
-        if (++ticks % SLOW_TICKS == 0) slowTick(now)
-        scheduler.after(TICK_MS, ::tick)
+        if (now - slowTickAt >= SLOW_TICK_MS) slowTick(now)
+        scheduler.after(if (exchange.isDirect) TICK_MS else FLEET_TICK_MS, ::tick)
     }
 
     private fun noticeSuspension() {
@@ -398,6 +399,7 @@
     }
 
     private fun slowTick(now: Long) {
+        slowTickAt = now
         if (targets.expire(now).isNotEmpty()) lease.refresh(targets.all.map { it.id })
         serving.instances = exchange.instances()
         views.tick()
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
@@ -136,6 +136,9 @@
     /** True while this instance follows the store itself: in a large fleet the aggregator of a group does, and the one that would be next. */
     val readsStore: Boolean get() = groups.isDirect || aggregatesSince != null || (groups.ownRank ?: 0) < AGGREGATOR_CANDIDATES
 
+    /** True while the fleet is so small that all instances tell each other everything. */
+    val isDirect: Boolean get() = groups.isDirect
+
     /** True while others rely on this instance's view of the store. */
     val isAggregator: Boolean get() = aggregatesSince != null
 
