Never apply a removal twice, and let an aggregator that was held up count silence anew

Reports repeat the changes of the last 1.5 s. What an instance knew already was left out by the revision of the object, but removals were always applied: one that was told again, with a later change, undid the return that followed it. KindWatchSpec plays just that and failed before ("changed [a, b]" where only b is new). Changes are now told with the revision as of which they were seen, and left out by that.

Weakness 2, found by reading: an aggregator that wakes from a freeze may run its timers before it reads what arrived meanwhile, and would remove its whole group, since the other groups still count as heard and make up more than half.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerChanges.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerChanges.kt
@@ -16,6 +16,8 @@
 import io.skylarkstile.gateway.http.serveControl
 import io.skylarkstile.gateway.store.ChangesSince
 import io.skylarkstile.gateway.store.ChangesSource
+import io.skylarkstile.gateway.store.LatestChanges
+import io.skylarkstile.gateway.store.SeenChange
 import io.skylarkstile.gateway.store.StoreKind
 import io.skylarkstile.gateway.store.StoredObject
 import io.skylarkstile.schema.generated.ChangedObject
@@ -63,6 +65,24 @@
 internal fun toldOf(changes: ChangesSince) =
     StoreChanges(changes.seen, changes.objects.map { ChangedObject(it.name, it.revision, it.spec) }, changes.returnInMs)
 
+/** Returns [latest] as one instance tells them to another. */
+internal fun toldOf(latest: LatestChanges) = StoreChanges(
+    latest.seen,
+    latest.changes.map { ChangedObject(it.item.name, it.item.revision, it.item.spec, it.seenWith) },
+    latest.returnInMs,
+)
+
+/** Returns the changes after revision [after] that another instance has [told]. */
+internal fun latestIn(
+    told: StoreChanges,
+    after: Long,
+) = LatestChanges(
+    after,
+    told.seen,
+    told.returnInMs,
+    told.objects.map { SeenChange(it.seenWith ?: told.seen, StoredObject(it.name, it.revision, it.spec)) },
+)
+
 /** Returns the changes that another instance has [told]. */
 internal fun changesIn(told: StoreChanges) =
     ChangesSince(told.seen, told.returnInMs, told.objects.map { StoredObject(it.name, it.revision, it.spec) })
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
@@ -54,6 +54,9 @@
 /** A group that wasn't heard for this long has lost all of its members, in milliseconds. */
 private const val GROUP_LOST_MS = 10_000L
 
+/** An instance whose own message is overdue by this much was held up, in milliseconds. */
+private const val HELD_UP_MS = 700L
+
 /** Own messages that are remembered until an aggregator has heard them. */
 private const val REMEMBERED_STATES = 64
 
@@ -387,8 +390,9 @@
     private fun tell() {
         host.noticeSuspension()
         val now = scheduler.now()
+        // One that was held up hasn't heard its members for as long, so it counts their silence from now on.
+        if (now - sentAt > stateMs + HELD_UP_MS) aggregatesSince = null
         sentAt = now
-        heldNumber++
         val state = ownState(now)
         asked.clear()
         if (groups.isDirect) return send(GatewayDatagram(sender = self.name, state = state), others.map { it.peers })
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerViews.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerViews.kt
@@ -6,7 +6,6 @@
 import io.skylarkstile.gateway.store.ChangesSource
 import io.skylarkstile.gateway.store.KindView
 import io.skylarkstile.gateway.store.KindWatch
-import io.skylarkstile.gateway.store.LatestChanges
 import io.skylarkstile.gateway.store.StoreKind
 import io.skylarkstile.schema.generated.StoreView
 
@@ -44,7 +43,7 @@
     fun told(now: Long): List<StoreView> = watches.values
         .mapNotNull { it.viewOrNull(now) }
         .map { view ->
-            StoreView(view.kind.name, view.changed, view.seen, view.ageMs, view.latest?.after, view.latest?.let { toldOf(it.changes) })
+            StoreView(view.kind.name, view.changed, view.seen, view.ageMs, view.latest?.after, view.latest?.let(::toldOf))
         }
 
     /** Takes the [views] of an instance that had heard the message sent at [askedAt]; [source] hands out its changes. */
@@ -55,8 +54,7 @@
     ) = views.forEach { view ->
         val kind = StoreKind.entries.firstOrNull { it.name == view.kind }
         if (kind != null && view.ageMs >= 0) {
-            val changes = view.changes?.let(::changesIn)
-            val latest = view.after?.let { after -> changes?.let { LatestChanges(after, it) } }
+            val latest = view.after?.let { after -> view.changes?.let { latestIn(it, after) } }
             val heard = KindView(kind, view.changed, view.seen, view.ageMs, latest)
             watches[kind]?.hear(heard, askedAt - view.ageMs, askedAt, source)
         }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/ChangeLog.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/ChangeLog.kt
@@ -80,7 +80,7 @@
     ): ChangesSince? {
         if (revision < (completeAfter ?: return null)) return null
         val later = changes.filter { it.pageRevision > revision }
-        return ChangesSince(seen, later.mapNotNull { it.returnBy }.maxOrNull()?.let { maxOf(0, it - now) }, later.map { it.item })
+        return ChangesSince(seen, returnInMs(later, now), later.map { it.item })
     }
 
     /** Returns the changes of the last moments, as of [seen], for those that are about to hear of them; null when there are none, or large. */
@@ -91,9 +91,15 @@
         val recent = changes.filter { now - it.at <= LATEST_MS }
         if (recent.isEmpty() || recent.sumOf { it.item.spec?.length ?: 0 } > LATEST_CHARS) return null
         val after = changes.lastOrNull { now - it.at > LATEST_MS }?.pageRevision ?: completeAfter ?: return null
-        return afterOrNull(after, seen, now)?.let { LatestChanges(after, it) }
+        val later = changes.filter { it.pageRevision > after }
+        return LatestChanges(after, seen, returnInMs(later, now), later.map { SeenChange(it.pageRevision, it.item) })
     }
 
+    private fun returnInMs(
+        changes: List<Change>,
+        now: Long,
+    ): Long? = changes.mapNotNull { it.returnBy }.maxOrNull()?.let { maxOf(0, it - now) }
+
     private fun matters(item: StoredObject): Boolean {
         val content = item.spec?.let { contentOf(item) }
         val before = if (content == null) contents.remove(item.name) else contents.put(item.name, content)
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/KindWatch.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/KindWatch.kt
@@ -57,10 +57,21 @@
     val latest: LatestChanges? = null,
 )
 
-/** The [changes] after revision [after]. */
+/** The [changes] after revision [after], up to [seen]; [returnInMs] is that of [ChangesSince]. */
 data class LatestChanges(
     val after: Long,
-    val changes: ChangesSince,
+    val seen: Long,
+    val returnInMs: Long?,
+    val changes: List<SeenChange>,
+) {
+    /** Returns those that an instance which knows all up to [revision] hasn't seen; a removal seen twice would undo a return. */
+    fun unseen(revision: Long) = ChangesSince(seen, returnInMs, changes.filter { it.seenWith > revision }.map { it.item })
+}
+
+/** A change of [item] that was seen in an answer as of revision [seenWith]. */
+data class SeenChange(
+    val seenWith: Long,
+    val item: StoredObject,
 )
 
 /** Asks the instance that told a view for the changes after a revision; the answer is null when it can't tell them. */
@@ -152,7 +163,7 @@
         if (stopped || view.seen < known || now - at > pace.mostAgeMs) return
         if (!pace.reliesOnPeers && (current.ageOrNull(now) ?: Long.MAX_VALUE) <= pace.mostAgeMs) return
         val latest = view.latest
-        if (view.changed > known && latest != null && latest.after <= known) return fetched(latest.changes, at, askedAt)
+        if (view.changed > known && latest != null && latest.after <= known) return fetched(latest.unseen(known), at, askedAt)
         if (view.changed > known) return fetch(at, askedAt, source)
         revision = view.seen
         confirm(at, askedAt, view.seen)
@@ -196,8 +207,7 @@
         // A question under way is about an earlier revision; its answer would bring old states back.
         val wasAsking = !isRelying
         question++
-        val news = changes.objects.filter { it.spec == null || it.revision > (revision ?: 0) }
-        apply(StorePage(news, changes.seen), now, changes.returnInMs?.let { now + it } ?: returnByOrNull(now))
+        apply(StorePage(changes.objects, changes.seen), now, changes.returnInMs?.let { now + it } ?: returnByOrNull(now))
         confirm(at, askedAt, changes.seen)
         if (pace.reliesOnPeers) {
             rely(at)
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/peer/FleetExchangeSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/peer/FleetExchangeSpec.kt
@@ -251,4 +251,23 @@
                 withClue("the stopped members of its group are found") { silent.size shouldBe 2 }
             }
         }
+
+        // On waking, a timer may fire before the messages that arrived meanwhile are read.
+        test("an aggregator that was frozen doesn't take its members for lost because it couldn't hear them") {
+            val fleet = Fleet(60, 3, seed = 5)
+            fleet.scheduler.advance(5_000)
+            val frozen = fleet.members.first { it.exchange.isAggregator }
+            frozen.isStopped = true
+            fleet.scheduler.advance(6_000)
+            frozen.isStopped = false
+            frozen.exchange.tick()
+            val now = fleet.scheduler.now()
+            val silent =
+                fleet.set.members.keys.filter { name ->
+                    name != frozen.record.name &&
+                        frozen.exchange.removalTurnOrNull(name, emptyList()) != null &&
+                        now - (frozen.exchange.heardAtOrNull(name) ?: 0) > 3_500
+                }
+            silent.shouldBeEmpty()
+        }
     })
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/store/KindWatchSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/store/KindWatchSpec.kt
@@ -215,14 +215,27 @@
         test("small changes come with the view itself, and those that are known already aren't applied again") {
             val relying = Relying()
             relying.told(changed = 7, seen = 12, ageMs = 0)
-            val changes = ChangesSince(15, null, listOf(StoredObject("old", 9, "{}"), StoredObject("b", 14, "{}")))
-            relying.told(changed = 14, seen = 15, ageMs = 100, latest = LatestChanges(8, changes))
+            val changes = listOf(SeenChange(9, StoredObject("old", 9, "{}")), SeenChange(14, StoredObject("b", 14, "{}")))
+            relying.told(changed = 14, seen = 15, ageMs = 100, latest = LatestChanges(8, 15, null, changes))
             relying.asked.isEmpty() shouldBe true
             relying.recorder.seen.last() shouldBe "changed [b] false"
-            relying.told(changed = 20, seen = 21, ageMs = 100, latest = LatestChanges(18, ChangesSince(21, null, emptyList())))
+            relying.told(changed = 20, seen = 21, ageMs = 100, latest = LatestChanges(18, 21, null, emptyList()))
             relying.asked shouldBe listOf(15L)
         }
 
+        // Instances that saw a removal twice and the return once believed in different sets, and two of them ordered the same target.
+        test("a removal that is known already isn't applied again when a later change is told with it") {
+            val relying = Relying()
+            relying.told(changed = 7, seen = 12, ageMs = 0)
+            val removed = SeenChange(13, StoredObject("a", 13, null))
+            val back = SeenChange(14, StoredObject("a", 14, "{}"))
+            relying.told(changed = 14, seen = 14, ageMs = 0, latest = LatestChanges(12, 14, null, listOf(removed, back)))
+            relying.recorder.seen.last() shouldBe "changed [a, a] false"
+            val other = SeenChange(15, StoredObject("b", 15, "{}"))
+            relying.told(changed = 15, seen = 15, ageMs = 0, latest = LatestChanges(12, 15, null, listOf(removed, back, other)))
+            relying.recorder.seen.last() shouldBe "changed [b] false"
+        }
+
         test("an instance that was suspended believes nothing that was told in answer to a message from before") {
             val relying = Relying()
             relying.scheduler.advance(1_000)
