Send the state at hand to the next in line, not the one looked up again

aggregate() has the state; tellSelf() searched all remembered ones for it. Behaviour is the same; FleetExchangeSpec, KindWatchSpec and ktlint of the gateway passed.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
@@ -442,17 +442,8 @@
         val fleetReport = aggregator.fleetReport(report, states, members, views.told(now), now)
         send(GatewayDatagram(sender = self.name, fleetReport = fleetReport), groups.own.filter { it.name != self.name }.map { it.peers })
         apply(fleetReport, self.name, now)
-        tellSelf(now)
-    }
-
-    /** The next in line has to know the state of this instance too, in case this one falls silent. */
-    private fun tellSelf(now: Long) {
+        // The next in line has to know the state of this instance too, in case this one falls silent.
         val next = groups.own.firstOrNull { it.name != self.name } ?: return
-        val state =
-            told.values
-                .last()
-                .takeIf { it.at == now }
-                ?.state ?: return
         send(GatewayDatagram(sender = self.name, state = state), listOf(next.peers))
     }
 
