Fail a proof with a clear message where an instance doesn't answer its dump

Cause, as far as it shows: the harness read a dump that took more than 0.5 s as an empty text, which looks like an instance that owns nothing. EvictionInUseProofSpec made 2 attempts in 3.4 s, that is 1.7 s for each look at three dumps: all three ran into their time limit. For WholeAnswerProofSpec this isn't shown, since the failed runs kept no dumps.

Ruled out: the code of entry instances (unchanged), a wrong pattern (the same runs pass with it).

Change: a dump is waited for up to 5 s, and one that doesn't come fails the test with its reason. No check is given up: an instance that answers and doesn't own the target is still no owner.

Test: EntryFleetSpec holds an instance up for 1.5 s. Before: no owner. After: the owner, and a clear failure for an instance that is gone.

--- a/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/harness/EntryFleetSpec.kt
+++ b/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/harness/EntryFleetSpec.kt
@@ -4,13 +4,16 @@
 package io.skylarkstile.tests.harness
 
 import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.skylarkstile.bench.fleet.Fleet
+import io.skylarkstile.tests.proof.ownerOrNull
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlin.time.Duration.Companion.seconds
 
 class EntryFleetSpec :
@@ -50,6 +53,24 @@
             }
         }
 
+        // Proofs took the dump of an instance that was held up for that of one that owns nothing.
+        test("the owner of a target is found while the machine is busy, and an instance that doesn't answer is no answer") {
+            Fleet("entry-owner").use { fleet ->
+                fleet.prepared()
+                val entry = fleet.entry("entry-1")
+                eventually(10.seconds) { fleet.ownerOrNull(listOf(entry), "engine-1") shouldBe entry }
+                entry.process.pause()
+                coroutineScope {
+                    val owner = async { fleet.ownerOrNull(listOf(entry), "engine-1") }
+                    delay(1_500)
+                    entry.process.resume()
+                    owner.await() shouldBe entry
+                }
+                entry.process.kill()
+                shouldThrow<AssertionError> { fleet.ownerOrNull(listOf(entry), "engine-1") }
+            }
+        }
+
         test("a key of another workspace and a withdrawn key are refused as not-run") {
             Fleet("entry-keys").use { fleet ->
                 fleet.prepared()
--- a/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/proof/ProofTraffic.kt
+++ b/skylarkstile-tests/src/test/kotlin/io/skylarkstile/tests/proof/ProofTraffic.kt
@@ -5,6 +5,7 @@
 
 import io.kotest.assertions.withClue
 import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
 import io.skylarkstile.bench.fleet.EntryInstance
 import io.skylarkstile.bench.fleet.Fleet
 import io.skylarkstile.tests.harness.Ask
@@ -17,6 +18,9 @@
 private const val REFUSED_PAUSE_MS = 20L
 private const val ADMISSION_TIMEOUT_MS = 10_000L
 
+/** A live instance answers within this time also on a busy machine, in milliseconds. */
+private const val DUMP_TIMEOUT_MS = 5_000L
+
 /** One request, the time at which it was sent (milliseconds of [nowMs]) and its answer. */
 internal data class Exchange(
     val ask: Ask,
@@ -62,9 +66,14 @@
     if (reply.status == 200 && !reply.whole) (reply.problem ?: reply.failure).shouldNotBeNull()
 }
 
-/** Returns the state dump of [entry], or an empty text when it does not answer. */
-internal suspend fun Fleet.dump(entry: EntryInstance): String =
-    Caller(client, entry.addresses.admin, null, idleTimeoutMs = 500).call("GET", "/dump").body
+/**
+ * Returns the state dump of [entry]. One that doesn't answer fails the test: an empty dump would look like that of an instance that owns
+ * nothing, as it did where the machine was so busy that the dumps of all instances took more than half a second.
+ */
+internal suspend fun Fleet.dump(entry: EntryInstance): String {
+    val reply = Caller(client, entry.addresses.admin, null, idleTimeoutMs = DUMP_TIMEOUT_MS).call("GET", "/dump")
+    return withClue("dump of ${entry.name}: $reply") { reply.body.also { reply.status shouldBe 200 } }
+}
 
 /** Returns the instance among [entries] whose dump lists [target] among the targets it owns. */
 internal suspend fun Fleet.ownerOrNull(
