--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
@@ -24,7 +24,6 @@
 import io.skylarkstile.gateway.model.AdapterVersion
 import io.skylarkstile.gateway.relay.AdapterDemand
 import io.skylarkstile.gateway.store.ChangesSource
-import io.skylarkstile.gateway.target.AdapterPhase
 import io.skylarkstile.gateway.target.CallWeight
 import io.skylarkstile.gateway.target.TargetState
 import io.skylarkstile.gateway.target.TargetTable
@@ -33,8 +32,6 @@
 import io.skylarkstile.schema.generated.GatewayDatagram
 import io.skylarkstile.schema.generated.GatewayState
 import io.skylarkstile.schema.generated.GroupReport
-import io.skylarkstile.schema.generated.HeldTarget
-import io.skylarkstile.schema.generated.LoadingAdapter
 import io.skylarkstile.schema.generated.MemberStatus
 import io.skylarkstile.schema.generated.TargetCalls
 import java.net.InetSocketAddress
@@ -53,12 +50,6 @@
 private const val GATHER_MS = 4L
 private const val GATHER_MS_PER_INSTANCE = 1L
 
-/** Adapters that a peer said it holds can be ordered there for this long without news, in milliseconds. */
-private const val HELD_MS = 1_500L
-
-/** An instance whose call waits for an adapter is told at once of changes on the target for this long, in milliseconds. */
-private const val WISHER_MS = 2_000L
-
 /** A group that wasn't heard for this long has lost all of its members, in milliseconds. */
 private const val GROUP_LOST_MS = 10_000L
 
@@ -104,24 +95,16 @@
         val state: GatewayState,
     )
 
-    private class HeldNews(
-        val holder: String,
-        val number: Long,
-    )
-
     val board = PeerBoard()
     private val vouches = SetVouches(self.name, self.startedAt, lease)
     private val aggregator = Aggregator(self.name, self.startedAt)
     private val role = AggregatorRole()
     private val told = LinkedHashMap<Long, Told>()
     private val asked = ArrayList<String>()
-    private val heldNews = HashMap<String, HeldNews>()
-    private val wishers = HashMap<String, HashMap<String, Long>>()
-    private val noticed = LinkedHashSet<String>()
+    private val news = TargetNews("${self.name}/${self.startedAt}", targets, { holder }, host::adaptersChanged)
     private var members = InstanceSet.EMPTY
     private var groups = FleetGroups(InstanceSet.EMPTY, self.name)
     private var number = 0L
-    private var heldNumber = 0L
     private var sentAt = 0L
     private var isGathering = false
     private var aggregatesSince: Long? = null
@@ -174,7 +157,7 @@
 
     /** Tells the others what has changed, soon; [target] is the one whose adapters have. */
     fun changed(target: TargetState? = null) {
-        if (!groups.isDirect && target != null) noticed.add(target.id)
+        if (!groups.isDirect && target != null) news.changed(target)
         if (isGathering) return
         isGathering = true
         scheduler.after(GATHER_MS + if (groups.isDirect) GATHER_MS_PER_INSTANCE * members.members.size else 0) {
@@ -185,14 +168,9 @@
     }
 
     /** Tells those whose calls wait for adapters on the changed targets; all others hear of it with the next reports. */
-    private fun notifyWishers() {
-        val now = scheduler.now()
-        noticed.mapNotNull(targets::get).forEach { target ->
-            val waiting = wishers[target.id].orEmpty().filterValues { now - it <= WISHER_MS }.keys
-            val receivers = waiting.mapNotNull { members.members[it]?.peers }
-            if (receivers.isNotEmpty()) send(GatewayDatagram(sender = self.name, notice = held(target, now)), receivers)
-        }
-        noticed.clear()
+    private fun notifyWishers() = news.takeNotices(scheduler.now()).forEach { (held, waiting) ->
+        val receivers = waiting.mapNotNull { members.members[it]?.peers }
+        if (receivers.isNotEmpty()) send(GatewayDatagram(sender = self.name, notice = held), receivers)
     }
 
     /** Repeats the state when it is due. Called regularly. */
@@ -206,7 +184,7 @@
         datagram.wish?.let { takeWish(it, datagram.sender, now) }
         if (datagram.sender == self.name || datagram.sender !in members.members) return
         datagram.state?.let { takeState(it, datagram.sender, now) }
-        datagram.notice?.let { applyHeld(it, now) }
+        datagram.notice?.let { news.apply(it, now) }
         datagram.groupReport?.let { takeGroupReport(it, datagram.sender, now) }
         datagram.fleetReport?.let { takeReport(it, datagram.sender, now) }
     }
@@ -219,7 +197,7 @@
         val adapter = AdapterVersion.parseOrNull(wish.adapter) ?: return
         if (!holder.wish(wish.target, adapter) || groups.isDirect) return
         if (wish.isNewCall == true) popularity.record(wish.adapter, now)
-        wishers.getOrPut(wish.target) { HashMap() }[sender] = now
+        news.wished(wish.target, sender, now)
     }
 
     private fun takeState(
@@ -234,7 +212,7 @@
         shares.told(now, "$sender/${state.startedAt}", demandsIn(state.demands))
         vouches.hear(state)
         state.asked.forEach { popularity.record(it, now) }
-        state.held.forEach { applyHeld(it, now) }
+        state.held.forEach { news.apply(it, now) }
         recount()
     }
 
@@ -286,8 +264,8 @@
             demandElsewhere = demandsIn(report.demands).mapValues { (name, demand) -> ownDemand[name]?.let { demand - it } ?: demand }
             shares.told(now, teller, demandElsewhere)
         }
-        report.held.forEach { applyHeld(it, now) }
-        report.orderable.forEach { id -> targets[id]?.let { it.orderableUntil = maxOf(it.orderableUntil, now + HELD_MS) } }
+        report.held.forEach { news.apply(it, now) }
+        news.orderable(report.orderable, now)
     }
 
     override fun wish(
@@ -375,33 +353,6 @@
         }
     }
 
-    private fun applyHeld(
-        held: HeldTarget,
-        now: Long,
-    ) {
-        val target = targets[held.target] ?: return
-        if (holder.isHeld(held.target) || !isNews(held)) return
-        if (held.isOrderable) target.orderableUntil = now + HELD_MS
-        val present = held.present.mapNotNull(AdapterVersion::parseOrNull).associateWith { AdapterPhase.Present }
-        val loading =
-            held.loading.mapNotNull { item ->
-                AdapterVersion.parseOrNull(item.adapter)?.let { it to AdapterPhase.Loading(now + item.readyInMs) }
-            }
-        val before = target.adapters
-        target.adapters = present + loading
-        if (before != target.adapters) host.adaptersChanged(target)
-    }
-
-    /** News of one holder may overtake each other, since they come directly and by way of the aggregators. */
-    private fun isNews(held: HeldTarget): Boolean {
-        val teller = held.holder ?: return true
-        val rank = held.number ?: 0
-        val known = heldNews[held.target]
-        if (known != null && known.holder == teller && known.number >= rank) return false
-        heldNews[held.target] = HeldNews(teller, rank)
-        return true
-    }
-
     private fun recount() {
         val weights = weightsOf(board.states())
         targets.all.forEach { it.peerWeight = weights[it.id] ?: CallWeight.NONE }
@@ -435,7 +386,7 @@
             calls = targets.all.filter { it.ownWeight.calls > 0 }.map(::callsOn),
             demands = listOf(shares.demands(now)),
             asked = if (groups.isDirect) asked.toList() else emptyList(),
-            held = holder.known().map { held(it, now) },
+            held = news.held(now, isOrdered = !groups.isDirect),
             needsVouch = vouches.isNeeded(now),
             set = lease.setHash,
             setAgeMs = lease.ageOrNull(now) ?: -1,
@@ -491,24 +442,6 @@
         return TargetCalls(target.id, weight.calls, weight.tokens, weight.unreadTokens, target.adapterCalls.keys.map { "$it" })
     }
 
-    private fun held(
-        target: TargetState,
-        now: Long,
-    ): HeldTarget {
-        val (present, loading) = target.adapters.entries.partition { it.value == AdapterPhase.Present }
-        return HeldTarget(
-            target = target.id,
-            isOrderable = target.isOrderable(now),
-            present = present.map { "${it.key}" },
-            loading =
-                loading.map { (adapter, phase) ->
-                    LoadingAdapter("$adapter", maxOf(0, (phase as AdapterPhase.Loading).readyAt - now))
-                },
-            holder = "${self.name}/${self.startedAt}".takeIf { !groups.isDirect },
-            number = (++heldNumber).takeIf { !groups.isDirect },
-        )
-    }
-
     private companion object {
         /** Messages that news passes through in a large fleet: to the own aggregator, to the others, and to their members. */
         const val HOPS = 3
--- /dev/null
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/adapter/Absent.kt
@@ -0,0 +1,49 @@
+/*
+ * Targets and fleets without anything, for tests of other parts.
+ */
+package io.skylarkstile.gateway.adapter
+
+import io.skylarkstile.gateway.model.AdapterName
+import io.skylarkstile.gateway.model.AdapterVersion
+import io.skylarkstile.gateway.model.Service
+import io.skylarkstile.gateway.model.TargetEntry
+import io.skylarkstile.gateway.target.TargetState
+
+/** No target here takes orders. */
+object NoOrders : TargetOrders {
+    override fun order(
+        target: TargetEntry,
+        order: TargetOrder,
+        stamp: OrderStamp,
+        done: (OrderOutcome) -> Unit,
+    ) = Unit
+
+    override fun probe(
+        target: TargetEntry,
+        service: Service,
+        done: (Boolean) -> Unit,
+    ) = Unit
+
+    override fun report(
+        target: TargetEntry,
+        done: (TargetReport?) -> Unit,
+    ) = Unit
+}
+
+object NoAdapters : FleetView {
+    override fun isInUse(
+        target: TargetState,
+        adapter: AdapterVersion,
+    ) = false
+
+    override fun current(name: AdapterName) = AdapterVersion(name, 1)
+
+    override fun missingModelOrNull(
+        target: TargetState,
+        held: Set<String>,
+    ): String? = null
+
+    override fun modelLoads(service: String) = 1
+
+    override fun adapterCapacity(service: String) = 0
+}
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/peer/FleetExchangeSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/peer/FleetExchangeSpec.kt
@@ -12,12 +12,8 @@
 import io.skylarkstile.core.placement.Popularity
 import io.skylarkstile.gateway.ManualScheduler
 import io.skylarkstile.gateway.adapter.AdapterHolder
-import io.skylarkstile.gateway.adapter.FleetView
-import io.skylarkstile.gateway.adapter.OrderOutcome
-import io.skylarkstile.gateway.adapter.OrderStamp
-import io.skylarkstile.gateway.adapter.TargetOrder
-import io.skylarkstile.gateway.adapter.TargetOrders
-import io.skylarkstile.gateway.adapter.TargetReport
+import io.skylarkstile.gateway.adapter.NoAdapters
+import io.skylarkstile.gateway.adapter.NoOrders
 import io.skylarkstile.gateway.admission.QuotaTolerance
 import io.skylarkstile.gateway.admission.WorkspaceShares
 import io.skylarkstile.gateway.entry
@@ -27,8 +23,6 @@
 import io.skylarkstile.gateway.membership.OrderLease
 import io.skylarkstile.gateway.model.AdapterName
 import io.skylarkstile.gateway.model.AdapterVersion
-import io.skylarkstile.gateway.model.Service
-import io.skylarkstile.gateway.model.TargetEntry
 import io.skylarkstile.gateway.store.ChangesSource
 import io.skylarkstile.gateway.store.KindListener
 import io.skylarkstile.gateway.store.KindWatch
@@ -42,45 +36,6 @@
 import java.net.InetSocketAddress
 import kotlin.random.Random
 
-/** No target here takes orders. */
-private object NoOrders : TargetOrders {
-    override fun order(
-        target: TargetEntry,
-        order: TargetOrder,
-        stamp: OrderStamp,
-        done: (OrderOutcome) -> Unit,
-    ) = Unit
-
-    override fun probe(
-        target: TargetEntry,
-        service: Service,
-        done: (Boolean) -> Unit,
-    ) = Unit
-
-    override fun report(
-        target: TargetEntry,
-        done: (TargetReport?) -> Unit,
-    ) = Unit
-}
-
-private object NoAdapters : FleetView {
-    override fun isInUse(
-        target: TargetState,
-        adapter: AdapterVersion,
-    ) = false
-
-    override fun current(name: AdapterName) = AdapterVersion(name, 1)
-
-    override fun missingModelOrNull(
-        target: TargetState,
-        held: Set<String>,
-    ): String? = null
-
-    override fun modelLoads(service: String) = 1
-
-    override fun adapterCapacity(service: String) = 0
-}
-
 private const val TARGETS = 20
 private const val LOSS = 0.02
 private const val MOST_DELAY_MS = 4L
