Let one instance grant the tokens of a workspace's rate in a large fleet

Cause, from a model of 74 instances that hear of each other a second late, with calls of 1,700 tokens: an instance's share of a rate of 45,000 tokens a second is smaller than a call, so calls go by the fleet's bucket as others say it stands, one large call for each instance and second.

Ruled out: leases of tokens in advance (one call for each of 74 instances is 2.8 s of the rate), admission at random by the ratio of rate and demand (the tolerated sum is exceeded in the first second of a jump of the demand).

Change: the first member of a group, by hash of the workspace's name, keeps the bucket and grants each call's tokens. A question is repeated every 20 ms and answered once; after 75 ms the own share decides, and the keeper isn't asked for 0.5 s. Shares save nothing while grants come, so that both can't be spent. Refused calls are told later and later times to return, so they don't all come for the same tokens. After a grant, key and route are looked up again: a process that stood still meanwhile must not run the call on a key that is gone. A planned stop waits for calls that are being decided. Small fleets decide as before. Refusals for a rate log what decided them.

CallAdmissionSpec: withdrawn key, process that stood still, tokens given back.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/WorkspaceShare.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/WorkspaceShare.kt
@@ -3,9 +3,10 @@
  * tell each other; no call waits for an answer from a peer. An instance that hears nobody keeps its last share, so that the sum of the
  * shares stays within the rate. Answers a load of one workspace that sends several times its rate.
  *
- * Beside its share, each instance follows the bucket of the whole fleet by what the others say they have admitted. While that bucket is
- * well filled, a call that doesn't fit into the share is admitted too: answers a load of a few large calls, which would exhaust the share
- * of the instance they arrive at although the workspace is below its rate.
+ * Beside its share, each instance follows the bucket of the whole fleet by what the others say they have admitted. In a small fleet, a call
+ * that doesn't fit into the share is admitted while that bucket is well filled: answers a load of a few large calls, which would exhaust
+ * the share of the instance they arrive at although the workspace is below its rate. In a large fleet the others hear of it too late for
+ * that, so one instance grants the tokens from its view of the bucket, and the share only serves calls that the granting one can't answer.
  */
 package io.skylarkstile.gateway.admission
 
@@ -23,10 +24,7 @@
 /** Part of the tolerated excess that the shares' bursts use; the rest covers instances that restart with a fresh share. */
 private const val USED_TOLERANCE = 0.4
 
-/**
- * Part of the tolerated excess that calls beyond the shares may use between two looks at what the others have admitted, over all instances.
- * It bounds what the instances together can admit too much because they hear of each other late.
- */
+/** Part of the tolerated excess that calls beyond the shares may use between two looks at what the others have admitted, over all instances. */
 private const val UNTOLD_TOLERANCE = 0.4
 
 /** The excess over a window that the deployment tolerates: [overage] of the rate and burst, and [slack] tokens. */
@@ -37,13 +35,21 @@
 )
 
 /**
- * What an instance knows of the fleet: its number of [instances], whether all of them were heard lately, and the time in milliseconds
- * within which they hear of each other's admissions.
+ * What an instance knows of the fleet: its number of [instances], whether all of them were heard lately, and whether they tell each other
+ * everything directly, so that they hear of admissions at once.
  */
 data class FleetKnowledge(
     val instances: Int,
     val isKnown: Boolean,
-    val newsMs: Long = 0,
+    val isDirect: Boolean = true,
+)
+
+/** What an admission was decided by: this instance's [part] of the rate, its [level] and that of the whole fleet in tokens, null if unknown. */
+data class ShareState(
+    val part: Double,
+    val level: Double,
+    val fleetLevel: Double?,
+    val beyondShare: Double,
 )
 
 /** Decides the admissions of one workspace. Not thread-safe. */
@@ -69,7 +75,11 @@
 
     /** Tokens admitted beyond the share of which the others haven't heard yet. */
     private var beyondShare = 0.0
-    private var beyondSince = startedAt
+    private var isDirect = true
+
+    /** Tokens of refused calls that were told when to return, less what has come in since. */
+    private var promised = 0.0
+    private var promisedAt = startedAt
 
     /** Tokens admitted since the start of the process. */
     var admitted = 0L
@@ -92,8 +102,7 @@
         now: Long,
         cost: Int,
     ): Boolean {
-        asked = demandWeight(now) + cost
-        askedAt = now
+        count(now, cost)
         refill(now)
         val fits = level >= min(cost.toDouble(), capacity / 2)
         if (!fits && !fitsFleet(cost)) return false
@@ -104,19 +113,60 @@
         return true
     }
 
+    /** Counts a call of [cost] tokens in the demand; [admit] does so itself. */
+    fun count(
+        now: Long,
+        cost: Int,
+    ) {
+        asked = demandWeight(now) + cost
+        askedAt = now
+    }
+
+    /** Notes that another instance has answered for the whole fleet: the share saves nothing while it does, so that both can't be spent. */
+    fun answeredElsewhere(now: Long) {
+        refill(now)
+        level = min(level, 0.0)
+    }
+
+    /**
+     * Takes [cost] tokens of the whole fleet's bucket for a call on any instance. Returns null when they are granted, else the time in
+     * milliseconds after which the call should return. Calls that are refused one after the other get later and later times: together they
+     * would otherwise return for the same tokens.
+     */
+    fun grant(
+        now: Long,
+        cost: Int,
+    ): Long? {
+        refill(now)
+        promised = max(0.0, promised - (now - promisedAt) / MS_PER_S * rate.perSecond)
+        promisedAt = now
+        if (fleetLevel >= min(cost.toDouble(), rate.burst)) {
+            fleetLevel -= cost
+            admitted += cost
+            return null
+        }
+        promised += cost
+        val wait = max(promised, cost - fleetLevel) / max(1.0, rate.perSecond) * MS_PER_S
+        return min(wait.toLong(), LONGEST_WAIT_MS)
+    }
+
     /** Returns whether the fleet's bucket holds [cost] tokens; one large call is admitted in any case. */
     private fun fitsFleet(cost: Int): Boolean {
         val isWithinTolerance = beyondShare == 0.0 || beyondShare + cost <= UNTOLD_TOLERANCE * excess / instances
-        return isFleetKnown && fleetLevel >= cost && isWithinTolerance
+        return isDirect && isFleetKnown && fleetLevel >= cost && isWithinTolerance
     }
 
+    /** Returns what the last admission was decided by. */
+    fun state() = ShareState(part, level, fleetLevel.takeIf { isFleetKnown }, beyondShare)
+
     /** Takes note of [tokens] that the other instances have admitted. */
     fun admittedElsewhere(
         now: Long,
         tokens: Long,
     ) {
         refill(now)
-        fleetLevel -= tokens
+        // Sums that leave out a group for a while and contain it again would otherwise stop the workspace for good.
+        fleetLevel = (fleetLevel - tokens).coerceIn(-(rate.burst + excess), rate.burst)
     }
 
     /** Gives back [cost] tokens of a call that did not run. */
@@ -154,13 +204,11 @@
     ) {
         refill(now)
         // A process that has just started, or missed others, doesn't know what was spent meanwhile: the bucket fills up from empty.
-        if (fleet.isKnown && !isFleetKnown) fleetLevel = min(fleetLevel, 0.0)
+        if (fleet.isDirect && fleet.isKnown && !isFleetKnown) fleetLevel = min(fleetLevel, 0.0)
         isFleetKnown = fleet.isKnown
+        isDirect = fleet.isDirect
         instances = max(1, fleet.instances)
-        if (now - beyondSince >= fleet.newsMs) {
-            beyondShare = 0.0
-            beyondSince = now
-        }
+        beyondShare = 0.0
         val demand = demand(now)
         val total = demand + elsewhere
         val spare = max(rate.perSecond - total, rate.perSecond * EVEN_PART)
@@ -180,3 +228,6 @@
 }
 
 private const val MS_PER_S = 1_000.0
+
+/** Longest time to return, in milliseconds: callers rarely wait longer, and demand changes meanwhile. */
+private const val LONGEST_WAIT_MS = 4_000L
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/WorkspaceShares.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/WorkspaceShares.kt
@@ -37,6 +37,16 @@
     /** Returns the share of [workspace], or null when it has no rate. */
     fun shareOrNull(workspace: Workspace): WorkspaceShare? = shares[workspace.name]
 
+    /** Takes [tokens] of the whole fleet's bucket of [workspace]; returns null where this instance doesn't know it. */
+    fun grantOrNull(
+        workspace: String,
+        tokens: Int,
+        now: Long,
+    ): TokenAnswer? {
+        val share = shares[workspace] ?: return null
+        return share.grant(now, tokens)?.let(TokenAnswer::Refused) ?: TokenAnswer.Granted
+    }
+
     /** Returns what this instance tells the others, by workspace. */
     fun demands(now: Long): Map<String, ShareDemand> = shares.mapValues { (_, share) -> ShareDemand(share.demand(now), share.admitted) }
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -148,7 +148,7 @@
             targets,
             choice,
             AdapterPlacement(choice),
-            CallAdmission(shares, keyFreshness, ::noticeSuspension),
+            CallAdmission(shares, keyFreshness, exchange.tokens, ::noticeSuspension),
             exchange,
             random::nextDouble,
         )
@@ -389,7 +389,7 @@
         if (targets.expire(now).isNotEmpty()) lease.refresh(targets.all.map { it.id })
         serving.instances = exchange.instances()
         views.tick()
-        shares.split(now, exchange.demandElsewhere(), FleetKnowledge(exchange.instances(), exchange.isFleetKnown(now), exchange.newsMs))
+        shares.split(now, exchange.demandElsewhere(), FleetKnowledge(exchange.instances(), exchange.isFleetKnown(now), exchange.isDirect))
         membership.tend()
         holder.refresh()
         pool.trim()
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
@@ -12,6 +12,7 @@
 import io.skylarkstile.core.placement.Popularity
 import io.skylarkstile.gateway.adapter.AdapterHolder
 import io.skylarkstile.gateway.admission.ShareDemand
+import io.skylarkstile.gateway.admission.TokenSource
 import io.skylarkstile.gateway.admission.WorkspaceShares
 import io.skylarkstile.gateway.main.Scheduler
 import io.skylarkstile.gateway.membership.AggregatorRole
@@ -101,6 +102,7 @@
     private val role = AggregatorRole()
     private val told = LinkedHashMap<Long, Told>()
     private val asked = ArrayList<String>()
+    private val grants = TokenGrants(self, scheduler, shares, send)
     private val news = TargetNews("${self.name}/${self.startedAt}", targets, { holder }, host::adaptersChanged)
     private var members = InstanceSet.EMPTY
     private var groups = FleetGroups(InstanceSet.EMPTY, self.name)
@@ -137,8 +139,8 @@
     /** True while others rely on this instance's view of the store. */
     val isAggregator: Boolean get() = aggregatesSince != null
 
-    /** Returns the time in milliseconds within which the instances hear of each other's admissions. */
-    val newsMs: Long get() = if (groups.isDirect) 0 else stateMs * HOPS
+    /** Grants tokens of workspaces' rates for the whole fleet. */
+    val tokens: TokenSource get() = grants
 
     /** Applies the set of instances. */
     fun apply(set: InstanceSet) {
@@ -147,6 +149,7 @@
         groups = FleetGroups(set, self.name)
         if (before.own.map { it.name } != groups.own.map { it.name }) role.restart(scheduler.now())
         aggregator.apply(groups)
+        grants.apply(groups)
         board.retain(if (groups.isDirect) set.members.keys else groups.own.mapTo(HashSet()) { it.name })
         if (groups.isDirect) {
             fleet = null
@@ -187,6 +190,8 @@
         datagram.notice?.let { news.apply(it, now) }
         datagram.groupReport?.let { takeGroupReport(it, datagram.sender, now) }
         datagram.fleetReport?.let { takeReport(it, datagram.sender, now) }
+        datagram.tokenAsk?.let { ask -> members.members[datagram.sender]?.let { grants.receive(ask, it, now) } }
+        datagram.tokenGrant?.let { grants.receive(it, now) }
     }
 
     private fun takeWish(
@@ -443,9 +448,6 @@
     }
 
     private companion object {
-        /** Messages that news passes through in a large fleet: to the own aggregator, to the others, and to their members. */
-        const val HOPS = 3
-
         /** The last state of a member counts this long, in milliseconds. */
         const val GROUP_STATES_MS = 3_500L
     }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
@@ -147,9 +147,31 @@
             content.release()
             return Answering(call).refuse(SERVICE_UNAVAILABLE, "leaving", MOVED_RETRY_MS)
         }
-        when (val admission = serving.admission.admit(arrivedAt, call, serving.configuration)) {
+        val admission = serving.admission.admit(arrivedAt, call, serving.configuration)
+        if (admission is Admission.Undecided) {
+            serving.undecidedCalls++
+            serving.admission.decide(arrivedAt, call, admission, serving::configuration) { now, decided ->
+                serving.undecidedCalls--
+                admitted(call, content, arrivedAt, now, decided)
+            }
+        } else {
+            admitted(call, content, arrivedAt, arrivedAt, admission)
+        }
+    }
+
+    private fun admitted(
+        call: CallHead,
+        content: ByteBuf,
+        arrivedAt: Long,
+        now: Long,
+        admission: Admission,
+    ) {
+        val isLeft = !ctx.channel().isActive
+        if (isLeft && admission is Admission.Admitted) serving.admission.refund(now, admission)
+        if (isLeft || admission !is Admission.Admitted) content.release()
+        if (isLeft) return
+        when (admission) {
             is Admission.Refused -> {
-                content.release()
                 logRefusal(call, admission)
                 Answering(call).refuse(admission.status, admission.reason, admission.retryAfterMs)
             }
@@ -159,6 +181,8 @@
                 run = started
                 started.start()
             }
+
+            is Admission.Undecided -> error("a decision is final")
         }
     }
 
@@ -175,6 +199,10 @@
             "status" to refused.status,
             "workspace" to refused.workspace,
             "retryAfterMs" to refused.retryAfterMs,
+            "part" to refused.share?.part,
+            "level" to refused.share?.level?.toLong(),
+            "fleetLevel" to refused.share?.fleetLevel?.toLong(),
+            "beyondShare" to refused.share?.beyondShare?.toLong(),
             "configuration" to serving.configuration?.version,
             "outcome" to refused.reason,
         ) { refused.reason }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/Serving.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/Serving.kt
@@ -62,7 +62,10 @@
     /** Set late in a stop, when a new call could no longer be finished. */
     var refusesCalls = false
     private val running = LinkedHashSet<CallRun>()
-    val runningCalls: Int get() = running.size
+
+    /** Calls that wait for another instance to grant their tokens. */
+    var undecidedCalls = 0
+    val runningCalls: Int get() = running.size + undecidedCalls
 
     fun allowance(service: String): RetryAllowance =
         allowances.getOrPut(service) { RetryAllowance(bounds.retryRatio, bounds.retrySlack, bounds.retryWindowMs) }
--- /dev/null
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/admission/CallAdmissionSpec.kt
@@ -0,0 +1,95 @@
+/*
+ * Guards against calls that act on a permission which ran out while they waited for tokens, and against tokens that are lost with them.
+ */
+package io.skylarkstile.gateway.admission
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import io.skylarkstile.gateway.configuration
+import io.skylarkstile.gateway.model.CallHead
+import io.skylarkstile.gateway.model.TokenRate
+import io.skylarkstile.gateway.model.Workspace
+import io.skylarkstile.gateway.route
+
+private val call =
+    CallHead("id", HttpMethod.GET, "/a/", "host.example", DefaultHttpHeaders(), "key-1", 1_000, null, null, 0, 0, false, null)
+private val rate = TokenRate(perSecond = 1_000.0, burst = 1_000.0, plainTokens = 200)
+
+private fun configured(vararg keys: String) = configuration(listOf(route("/a/")), listOf(Workspace("w", keys.toList(), null, rate)))
+
+/** A source whose answer the test gives. */
+private class OpenSource : TokenSource {
+    var answer: ((TokenAnswer, Long) -> Unit)? = null
+    var isOpen = true
+
+    override fun isAsked(
+        workspace: String,
+        now: Long,
+    ) = isOpen
+
+    override fun ask(
+        workspace: String,
+        tokens: Int,
+        now: Long,
+        done: (TokenAnswer, Long) -> Unit,
+    ) {
+        answer = done
+    }
+}
+
+private class Undecided {
+    val source = OpenSource()
+    val freshness = Freshness(4_000)
+    val shares = WorkspaceShares(QuotaTolerance(0.0, 0.0, 8_000))
+    var configuration = configured("key-1")
+    private val admission = CallAdmission(shares, freshness, source)
+
+    init {
+        freshness.confirm(0)
+        shares.configure(0, configuration, 1)
+    }
+
+    fun decide(
+        answer: TokenAnswer,
+        at: Long,
+        meanwhile: () -> Unit = {},
+    ): Admission {
+        val undecided = admission.admit(0, call, configuration) as Admission.Undecided
+        var outcome: Admission = undecided
+        admission.decide(0, call, undecided, { configuration }) { _, decided -> outcome = decided }
+        meanwhile()
+        checkNotNull(source.answer).invoke(answer, at)
+        return outcome
+    }
+
+    fun admitted() = checkNotNull(shares.shareOrNull(configuration.workspaces.first())).admitted
+}
+
+class CallAdmissionSpec :
+    FunSpec({
+        test("a call runs when its tokens are granted, is refused with the time to return, and goes by the share when nobody answers") {
+            val fixture = Undecided()
+            (fixture.decide(TokenAnswer.Granted, 10) as Admission.Admitted).cost shouldBe 200
+            (fixture.decide(TokenAnswer.Refused(700), 10) as Admission.Refused).retryAfterMs shouldBe 700
+            fixture.admitted() shouldBe 0
+            // The share saves nothing while others answer, so it fills from the last answer on.
+            (fixture.decide(TokenAnswer.Missing, 20) as Admission.Refused).status shouldBe 429
+            (fixture.decide(TokenAnswer.Missing, 900) is Admission.Admitted) shouldBe true
+            fixture.admitted() shouldBe 200
+        }
+
+        test("a key that is withdrawn while its call waits for tokens ends the call, and the tokens are given back") {
+            val fixture = Undecided()
+            val outcome = fixture.decide(TokenAnswer.Granted, 10) { fixture.configuration = configured("key-2") }
+            (outcome as Admission.Refused).status shouldBe 401
+            fixture.admitted() shouldBe -200
+        }
+
+        test("a process that stood still while a call waited for tokens doesn't run it on keys that may be gone") {
+            val fixture = Undecided()
+            (fixture.decide(TokenAnswer.Granted, 6_000) as Admission.Refused).status shouldBe 503
+            fixture.admitted() shouldBe -200
+        }
+    })
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/model/ConfigurationSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/model/ConfigurationSpec.kt
@@ -48,6 +48,7 @@
             ) = when (val outcome = admission.admit(now, call, configuration)) {
                 is Admission.Admitted -> outcome.workspace?.name ?: "public"
                 is Admission.Refused -> "${outcome.status}"
+                is Admission.Undecided -> "undecided"
             }
             statusOf(call("/a/", "key-1"), 0) shouldBe "503"
             freshness.confirm(0)
