--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -191,6 +191,8 @@
         override fun adaptersChanged(target: TargetState) = serving.adaptersChanged(target.id)
 
         override fun changesOf(peer: InstanceRecord): ChangesSource = changesOf(peerClient, peer.peers)
+
+        override fun listInstances() = this@Gateway.listInstances()
     }
 
     private inner class Fleet : FleetView {
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/Aggregator.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/Aggregator.kt
@@ -89,14 +89,15 @@
         }
 
     /**
-     * Returns the report on the own [group], whose members last said [states]; [statuses] tell how they are doing and [views] what is told
-     * of the store.
+     * Returns the report on the own [group], whose members last said [states]; [statuses] tell how they are doing, [views] what is told of
+     * the store, and [set] is the hash of the known set of instances.
      */
     fun groupReport(
         group: String,
         states: Collection<GatewayState>,
         statuses: List<MemberStatus>,
         views: List<StoreView>,
+        set: Long,
         now: Long,
     ): GroupReport {
         sentAt[number + 1] = now
@@ -113,6 +114,7 @@
             held = states.flatMap { it.held },
             heard = reports.values.map { SetVouch(it.sender, it.report.startedAt, it.report.number) },
             views = views,
+            set = set,
         )
     }
 
@@ -147,6 +149,7 @@
             held = newsOf(held, own.number),
             orderable = held.filter { it.isOrderable }.map { it.target },
             views = views,
+            set = own.set,
         )
     }
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
@@ -25,6 +25,7 @@
 import io.skylarkstile.gateway.model.AdapterVersion
 import io.skylarkstile.gateway.relay.AdapterDemand
 import io.skylarkstile.gateway.store.ChangesSource
+import io.skylarkstile.gateway.store.StoreKind
 import io.skylarkstile.gateway.target.CallWeight
 import io.skylarkstile.gateway.target.TargetState
 import io.skylarkstile.gateway.target.TargetTable
@@ -34,6 +35,7 @@
 import io.skylarkstile.schema.generated.GatewayState
 import io.skylarkstile.schema.generated.GroupReport
 import io.skylarkstile.schema.generated.MemberStatus
+import io.skylarkstile.schema.generated.StoreView
 import io.skylarkstile.schema.generated.TargetCalls
 import java.net.InetSocketAddress
 
@@ -76,6 +78,9 @@
 
     /** Returns the source of the changes of the store that [peer] knows. */
     fun changesOf(peer: InstanceRecord): ChangesSource
+
+    /** Reads the set of instances anew. */
+    fun listInstances()
 }
 
 /** Exchanges states as the instance [self]. Not thread-safe. */
@@ -111,6 +116,9 @@
     private var isGathering = false
     private var aggregatesSince: Long? = null
 
+    /** Time at which the instances were listed anew because others know a different set. */
+    private var listedAt = -LIST_PAUSE_MS
+
     /** The last report on the fleet and what it says without this instance. */
     private var fleet: FleetReport? = null
     private var fleetAt = Long.MIN_VALUE
@@ -230,6 +238,24 @@
         if (!isAggregator || report.views.isEmpty()) return
         val askedAt = aggregator.heardOwnAtOrNull(report) ?: return
         members.members[sender]?.let { views.hear(report.views, askedAt, host.changesOf(it)) }
+        compareSet(report.views, report.set, sender)
+    }
+
+    /** Two instances at the same revision that know different sets would both give orders to some targets. */
+    private fun compareSet(
+        told: List<StoreView>,
+        set: Long,
+        sender: String,
+    ) {
+        val revision = views.revisionOrNull(StoreKind.Instances) ?: return
+        if (told.none { it.kind == StoreKind.Instances.name && it.seen == revision } || set == lease.setHash) return
+        val now = scheduler.now()
+        if (now - listedAt < LIST_PAUSE_MS) return
+        listedAt = now
+        log.event(Level.WARN, "sets-differ", "revision" to revision, "peer" to sender, "instances" to members.members.size) {
+            "another instance knows a different set of instances at the same revision, listing it anew"
+        }
+        host.listInstances()
     }
 
     private fun takeReport(
@@ -243,6 +269,7 @@
         apply(report, sender, now)
         val mine = toldIn(report) ?: return
         views.hear(report.views, mine.at, host.changesOf(groups.own[rank]))
+        compareSet(report.views, report.set, sender)
     }
 
     private fun toldIn(report: FleetReport): Told? =
@@ -408,7 +435,15 @@
         aggregator.count(self.name, state)
         val states = board.recent(now, GROUP_STATES_MS) + (self.name to state)
         val toldViews = views.told(now)
-        val report = aggregator.groupReport(group, states.values, statuses(now), if (readsStore) toldViews else emptyList(), now)
+        val report =
+            aggregator.groupReport(
+                group,
+                states.values,
+                statuses(now),
+                if (readsStore) toldViews else emptyList(),
+                lease.setHash,
+                now,
+            )
         send(GatewayDatagram(sender = self.name, groupReport = report), aggregator.readers(now).map { it.peers })
         val fleetReport = aggregator.fleetReport(report, states, members, toldViews, now)
         send(GatewayDatagram(sender = self.name, fleetReport = fleetReport), groups.own.filter { it.name != self.name }.map { it.peers })
@@ -448,6 +483,9 @@
     }
 
     private companion object {
+        /** The instances are listed anew at most this often, in milliseconds: a record that only some can read would differ for good. */
+        const val LIST_PAUSE_MS = 2_000L
+
         /** The last state of a member counts this long, in milliseconds. */
         const val GROUP_STATES_MS = 3_500L
     }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerViews.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerViews.kt
@@ -27,6 +27,9 @@
     /** Returns the watch of [kind], or null. */
     fun watchOrNull(kind: StoreKind): KindWatch? = watches[kind]
 
+    /** Returns the revision up to which this instance knows all changes of [kind], or null before the first list. */
+    fun revisionOrNull(kind: StoreKind): Long? = watches[kind]?.revisionOrNull()
+
     /** Lets the watches go on where nothing was told lately. Called regularly. */
     fun tick() = watches.values.forEach { it.tick() }
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/KindWatch.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/KindWatch.kt
@@ -135,6 +135,9 @@
         toldAt = null
     }
 
+    /** Returns the revision up to which all changes are known, or null while the objects are being listed. */
+    fun revisionOrNull(): Long? = revision
+
     /** Returns what this instance can tell others, or null while its view isn't known to be current. */
     fun viewOrNull(now: Long): KindView? {
         val seen = revision ?: return null
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/peer/DatagramCodecSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/peer/DatagramCodecSpec.kt
@@ -29,6 +29,7 @@
     held = emptyList(),
     orderable = List(members) { "target-$it" },
     views = emptyList(),
+    set = 7,
 )
 
 private fun deflated(plain: ByteArray): ByteArray {
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/peer/FleetExchangeSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/peer/FleetExchangeSpec.kt
@@ -97,8 +97,12 @@
         private val codec = DatagramCodec()
         private val paced = PacedSends(record.linkMbps, scheduler, ::write)
         var seesStore = true
+
+        /** Times at which the set was found to be another than others know. */
+        var lists = 0
+            private set
         private val views = PeerViews()
-        private val lease = OrderLease(record.name, 3_000)
+        val lease = OrderLease(record.name, 3_000)
         private val popularity = Popularity()
         val exchange =
             PeerExchange(
@@ -118,9 +122,10 @@
         init {
             exchange.holder = AdapterHolder(record.name, lease, targets, NoOrders, NoAdapters, popularity, scheduler) {}
             exchange.apply(set)
+            lease.apply(set, emptyList(), 1, emptySet(), 0)
             val pace = FleetPace(exchange, 0, READER_WAIT_MS, MOST_AGE_MS)
-            val watch = KindWatch(StoreKind.Targets, store.client { seesStore && !isStopped }, scheduler, this, pace)
-            views.add(StoreKind.Targets, watch)
+            val watch = KindWatch(StoreKind.Instances, store.client { seesStore && !isStopped }, scheduler, this, pace)
+            views.add(StoreKind.Instances, watch)
             watch.start()
             scheduler.after(random.nextLong(50), ::tick)
         }
@@ -135,6 +140,10 @@
             scheduler.after(MOST_DELAY_MS) { done(changes) }
         }
 
+        override fun listInstances() {
+            lists++
+        }
+
         override fun listed(
             page: StorePage,
             now: Long,
@@ -336,6 +345,18 @@
             }
         }
 
+        // Two instances with different sets at the same revision gave orders to the same target.
+        test("an instance that knows another set than the others at the same revision lists it anew, and nobody else does") {
+            val fleet = Fleet(60, 3, seed = 8)
+            fleet.scheduler.advance(4_000)
+            fleet.members.sumOf { it.lists } shouldBe 0
+            val wrong = fleet.members.first { !it.exchange.isAggregator }
+            wrong.lease.apply(InstanceSet(fleet.set.members - "i-3"), emptyList(), 1, emptySet(), fleet.scheduler.now())
+            fleet.scheduler.advance(1_500)
+            (wrong.lists > 0) shouldBe true
+            fleet.members.filter { it !== wrong }.sumOf { it.lists } shouldBe 0
+        }
+
         // The last receivers of a burst beyond the link heard nothing, stepped in and were removed from the set though they lived.
         test("aggregators with slow links are heard by their whole groups, and no second ones step in") {
             listOf(6, 0).forEach { fast ->
