--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -166,9 +166,7 @@
         )
     private val probes = TargetProbes(targets, ::probe, scheduler::now) { serving.targetDead(it) }
     private val membership =
-        Membership(self, ports.store, scheduler, lease, {
-            targets.all.map { it.id }
-        }, exchange, livenessOver(peerClient), exchange::apply, ::listInstances)
+        Membership(self, ports.store, scheduler, lease, ::targetIds, exchange, livenessOver(peerClient), exchange::apply, ::listInstances)
     private val suspension = SuspensionDetector(scheduler.now(), System.currentTimeMillis())
     private val callers = HashSet<CallerConnection>()
     private var slowTickAt = 0L
@@ -332,6 +330,8 @@
             lines.joinToString("\n")
     }
 
+    private fun targetIds(): List<String> = targets.all.map { it.id }
+
     /** A record was found to be newer than the view, which leaves out what doesn't matter to other instances. */
     private fun listInstances() {
         views.watchOrNull(StoreKind.Instances)?.listAnew()
@@ -388,7 +388,7 @@
 
     private fun slowTick(now: Long) {
         slowTickAt = now
-        if (targets.expire(now).isNotEmpty()) lease.refresh(targets.all.map { it.id })
+        if (targets.expire(now).isNotEmpty()) lease.refresh(targetIds())
         serving.instances = exchange.instances()
         views.tick()
         shares.split(now, exchange.demandElsewhere(), FleetKnowledge(exchange.instances(), exchange.isFleetKnown(now), exchange.isDirect))
@@ -420,7 +420,7 @@
                 ?.engine
                 ?.memoryTokens ?: 0
         }
-        lease.refresh(targets.all.map { it.id })
+        lease.refresh(targetIds())
         holder.refresh()
     }
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/FleetGroups.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/membership/FleetGroups.kt
@@ -36,13 +36,14 @@
     /** Position of this instance among those that should aggregate, or null while it isn't in the set. */
     val ownRank: Int? = own.indexOfFirst { it.name == self }.takeIf { it >= 0 }
 
-    /** True when the aggregator of the own group reads the store for the others. Such groups are in different data centres where possible. */
-    val isReading: Boolean =
-        groups[self] in
-            members.keys
-                .sortedWith(
-                    compareBy({ it.substringAfterLast('/').toInt() }, { stableHash("reader|$it") }, { it }),
-                ).take(READING_GROUPS)
+    /** True when the aggregator of the own group reads the store for the others. */
+    val isReading: Boolean = groups[self] in readingGroups()
+
+    /** Such groups are in different data centres where possible: the first group of each comes before the second ones. */
+    private fun readingGroups(): List<String> {
+        val order = compareBy<String>({ it.substringAfterLast('/').toInt() }, { stableHash("reader|$it") }, { it })
+        return members.keys.sortedWith(order).take(READING_GROUPS)
+    }
 
     private fun grouped(set: InstanceSet): Map<String, List<InstanceRecord>> = set.members.values
         .groupBy { it.dataCentre }
@@ -58,10 +59,8 @@
         members: List<InstanceRecord>,
     ): List<Pair<String, List<InstanceRecord>>> {
         val groups = List((members.size + GROUP_SIZE - 1) / GROUP_SIZE) { ArrayList<InstanceRecord>() }
-        members.sortedWith(compareBy({ -it.linkMbps }, { stableHash("aggregator|${it.name}") }, { it.name })).forEachIndexed {
-            index,
-            member,
-            ->
+        val fittest = members.sortedWith(compareBy({ -it.linkMbps }, { stableHash("aggregator|${it.name}") }, { it.name }))
+        fittest.forEachIndexed { index, member ->
             val home = groups[Math.floorMod(stableHash(member.name), groups.size.toLong()).toInt()]
             val least = groups.minBy { it.size }
             val isSpread = index < groups.size * AGGREGATOR_CANDIDATES && home.size > least.size
