--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/store/KindWatchSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/store/KindWatchSpec.kt
@@ -8,7 +8,7 @@
 import io.skylarkstile.gateway.ManualScheduler
 
 /** A store whose answers are given by the test. */
-private class ScriptedStore : SharedStore {
+private class ScriptedStore : ReadOnlyStore() {
     val calls = ArrayList<String>()
     var answer: ((StoreResult<StorePage>) -> Unit)? = null
 
@@ -30,28 +30,6 @@
         answer = done
     }
 
-    override fun create(
-        kind: StoreKind,
-        name: String,
-        spec: String,
-        done: (StoreResult<StoredObject>) -> Unit,
-    ) = error("not used")
-
-    override fun replace(
-        kind: StoreKind,
-        name: String,
-        spec: String,
-        revision: Long?,
-        done: (StoreResult<StoredObject>) -> Unit,
-    ) = error("not used")
-
-    override fun remove(
-        kind: StoreKind,
-        name: String,
-        revision: Long,
-        done: (StoreResult<Unit>) -> Unit,
-    ) = error("not used")
-
     fun give(result: StoreResult<StorePage>) = checkNotNull(answer).invoke(result)
 }
 
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/store/ModelStore.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/store/ModelStore.kt
@@ -34,7 +34,7 @@
 
     private inner class Client(
         private val isReachable: () -> Boolean,
-    ) : SharedStore {
+    ) : ReadOnlyStore() {
         override fun list(
             kind: StoreKind,
             done: (StoreResult<StorePage>) -> Unit,
@@ -69,28 +69,6 @@
             calls++
             if (isReachable()) scheduler.after(WAY_MS, answer) else scheduler.after(TIMEOUT_MS) { done(failed) }
         }
-
-        override fun create(
-            kind: StoreKind,
-            name: String,
-            spec: String,
-            done: (StoreResult<StoredObject>) -> Unit,
-        ) = error("not used")
-
-        override fun replace(
-            kind: StoreKind,
-            name: String,
-            spec: String,
-            revision: Long?,
-            done: (StoreResult<StoredObject>) -> Unit,
-        ) = error("not used")
-
-        override fun remove(
-            kind: StoreKind,
-            name: String,
-            revision: Long,
-            done: (StoreResult<Unit>) -> Unit,
-        ) = error("not used")
     }
 
     private companion object {
--- /dev/null
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/store/ReadOnlyStore.kt
@@ -0,0 +1,26 @@
+package io.skylarkstile.gateway.store
+
+/** A store that only takes lists and watches; a write fails the test. */
+abstract class ReadOnlyStore : SharedStore {
+    override fun create(
+        kind: StoreKind,
+        name: String,
+        spec: String,
+        done: (StoreResult<StoredObject>) -> Unit,
+    ) = error("create of $name")
+
+    override fun replace(
+        kind: StoreKind,
+        name: String,
+        spec: String,
+        revision: Long?,
+        done: (StoreResult<StoredObject>) -> Unit,
+    ) = error("replace of $name")
+
+    override fun remove(
+        kind: StoreKind,
+        name: String,
+        revision: Long,
+        done: (StoreResult<Unit>) -> Unit,
+    ) = error("removal of $name")
+}
