Show the limits that targets name in logs, metrics and the dump

Each change of a named limit is now logged (target-limit), two metrics count the targets that named one and the calls sent to them, and the dump shows the limit.

No behaviour changes: nothing reads the limit yet.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -185,6 +185,7 @@
         override val waitingCalls: Int get() = serving.waitingCalls
         override val instances: Int get() = serving.instanceCount
         override val suspectedTargets: Int get() = scheduler.now().let { now -> targets.all.count { it.isSuspected(now) } }
+        override val limitedTargets: Int get() = targets.all.count { it.callLimit.callsPerSecond != null }
         override val configurationAgeMs: Long? get() = keyFreshness.ageOrNull(scheduler.now())
     }
 
@@ -335,7 +336,8 @@
         val now = scheduler.now()
         val lines =
             targets.all.map {
-                "${it.id} ${it.entry.service} own=${it.ownWeight} peers=${it.otherInstancesWeight} adapters=${it.adapters}"
+                "${it.id} ${it.entry.service} own=${it.ownWeight} peers=${it.otherInstancesWeight} " +
+                    "limit=${it.callLimit.callsPerSecond} adapters=${it.adapters}"
             }
         return "instances ${membership.instanceSet.members.keys} keysAgeMs=${keyFreshness.ageOrNull(
             now,
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/GatewayMetrics.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/GatewayMetrics.kt
@@ -17,6 +17,7 @@
     val waitingCalls: Int
     val instances: Int
     val suspectedTargets: Int
+    val limitedTargets: Int
 
     /** Age in milliseconds of the last confirmation that the configuration is current; null when there is none. */
     val configurationAgeMs: Long?
@@ -47,6 +48,12 @@
             .help("Orders to targets, by outcome.")
             .labelNames("outcome")
             .register(registry)
+    private val limitedSends =
+        Counter
+            .builder()
+            .name("skylarkstile_gateway_limited_sends_total")
+            .help("Calls sent to targets that had named a limit.")
+            .register(registry)
     private val seconds = latency("skylarkstile_gateway_call_seconds", "Time from the arrival of a call to its end, in seconds.")
     private val sendSeconds =
         latency("skylarkstile_gateway_send_seconds", "Time from the arrival of a call until it was sent to a target, in seconds.")
@@ -71,6 +78,9 @@
         gauge("skylarkstile_gateway_suspected_targets", "Targets that get no calls because they don't respond.") {
             gauges.suspectedTargets.toDouble()
         }
+        gauge("skylarkstile_gateway_limited_targets", "Targets that have named a limit of the calls that they accept.") {
+            gauges.limitedTargets.toDouble()
+        }
         gauge("skylarkstile_gateway_configuration_age_seconds", "Time since the configuration was last confirmed; -1 if never.") {
             gauges.configurationAgeMs?.let { it / MS_PER_S } ?: -1.0
         }
@@ -93,6 +103,9 @@
 
     fun recordOrder(outcome: OrderOutcome) = orders.labelValues("$outcome").inc()
 
+    /** Records a call sent to a target that had named a limit. */
+    fun recordLimitedSend() = limitedSends.inc()
+
     /** Records a call that ended with [outcome]. Times are in milliseconds since its arrival, or null for steps that were not reached. */
     fun recordCallEnd(
         outcome: String,
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/Call.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/Call.kt
@@ -50,4 +50,6 @@
     /** Time in milliseconds for which the target keeps an idle connection open, if given. */
     val keepAliveMs: Long?,
     val hasContentEncoding: Boolean,
+    /** Limit that the target names for calls of all instances together. */
+    val namedLimit: NamedLimit = NamedLimit.None,
 )
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -278,6 +278,7 @@
         started.connection = connection
         started.isSent = true
         started.target.silence.callSent(now)
+        if (started.target.callLimit.callsPerSecond != null) serving.metrics.recordLimitedSend()
         sends++
         possibleExecutions++
         mayHaveExecuted = true
@@ -320,6 +321,7 @@
         responseTimer?.cancel()
         running.target.recordActivity(serving.scheduler.now())
         running.head = head
+        serving.observeLimit(running.target, head)
         running.target.promptProcessed(running.weight.unreadTokens)
         running.weight = running.weight.copy(unreadTokens = 0)
         val isSuccess = head.status in 200..299
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetState.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetState.kt
@@ -22,6 +22,7 @@
 ) {
     val health = TargetHealth()
     val silence = SilenceDetector()
+    val callLimit = CallLimit()
 
     /** Load from the calls of this instance. */
     var ownWeight = CallWeight.NONE
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/main/GatewayMetricsPageSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/main/GatewayMetricsPageSpec.kt
@@ -18,6 +18,7 @@
     override val waitingCalls = 0
     override val instances = 1
     override val suspectedTargets = 0
+    override val limitedTargets = 0
     override val configurationAgeMs: Long? = null
 }
 
