Separate requests between instances from the token grants

The grants of calls to limited targets need the same numbered requests with repeats, a timeout and remembered answers (PeerRequests).

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/TokenGrants.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/TokenGrants.kt
@@ -10,7 +10,6 @@
 import io.skylarkstile.gateway.admission.TokenSource
 import io.skylarkstile.gateway.admission.WorkspaceShares
 import io.skylarkstile.gateway.main.Scheduler
-import io.skylarkstile.gateway.main.Timer
 import io.skylarkstile.gateway.membership.FleetGroups
 import io.skylarkstile.gateway.membership.InstanceRecord
 import io.skylarkstile.gateway.membership.InstanceSet
@@ -19,18 +18,6 @@
 import io.skylarkstile.schema.generated.TokenGrant
 import java.net.InetSocketAddress
 
-/** A request is repeated after this time, since datagrams may be lost, in milliseconds. */
-private const val RETRY_MS = 20L
-
-/** Timeout of a request, in milliseconds: bounds the caller's wait to about a round trip to a busy instance. */
-private const val ANSWER_TIMEOUT_MS = 75L
-
-/** A bucket owner that didn't answer gets no further request for this long, in milliseconds. */
-private const val AVOID_UNRESPONSIVE_MS = 500L
-
-/** Number of answers kept to answer repeated requests. */
-private const val MAX_REMEMBERED_ANSWERS = 2_048
-
 /** Requests tokens from bucket owners, and grants tokens of the buckets that [self] owns. Not thread-safe. */
 internal class TokenGrants(
     private val self: InstanceRecord,
@@ -38,32 +25,16 @@
     private val shares: WorkspaceShares,
     private val send: (GatewayDatagram, Collection<InetSocketAddress>) -> Unit,
 ) : TokenSource {
-    private class Pending(
-        val bucketOwner: InstanceRecord,
-        val ask: TokenAsk,
-        val done: (TokenAnswer, Long) -> Unit,
-    ) {
-        var timer: Timer? = null
-    }
-
-    private data class RequestId(
-        val sender: String,
-        val startedAt: Long,
-        val number: Long,
-    )
-
-    private val pending = HashMap<Long, Pending>()
-    private val answers = LinkedHashMap<RequestId, TokenGrant>()
-    private val avoidedUntil = HashMap<String, Long>()
+    private val requests = PeerRequests<TokenGrant>(scheduler, send)
+    private val answers = RememberedAnswers<TokenGrant>()
     private val bucketOwners = HashMap<String, InstanceRecord?>()
     private var groups = FleetGroups(InstanceSet.EMPTY, self.name)
-    private var number = 0L
 
     /** Applies the groups of the fleet. The owner of a bucket is a group's first member, since it learns first what others admit. */
     fun apply(groups: FleetGroups) {
         this.groups = groups
         bucketOwners.clear()
-        avoidedUntil.clear()
+        requests.clearAvoided()
     }
 
     private fun bucketOwnerOrNull(workspace: String): InstanceRecord? = bucketOwners.getOrPut(workspace) {
@@ -77,7 +48,7 @@
         now: Long,
     ): Boolean {
         val bucketOwner = bucketOwnerOrNull(workspace) ?: return false
-        return now >= (avoidedUntil[bucketOwner.name] ?: now)
+        return !requests.isAvoided(bucketOwner.name, now)
     }
 
     override fun request(
@@ -88,33 +59,14 @@
     ) {
         val bucketOwner = bucketOwnerOrNull(workspace) ?: return done(TokenAnswer.NoAnswer, now)
         if (bucketOwner.name == self.name) return done(shares.grantOrNull(workspace, tokens, now) ?: TokenAnswer.NoAnswer, now)
-        val request = Pending(bucketOwner, TokenAsk(self.startedAt, ++number, workspace, tokens), done)
-        pending[request.ask.number] = request
-        sendRequest(request, now + ANSWER_TIMEOUT_MS)
+        val datagramOf = { number: Long -> GatewayDatagram(self.name, tokenAsk = TokenAsk(self.startedAt, number, workspace, tokens)) }
+        requests.request(bucketOwner, now, datagramOf) { grant, at -> done(answerOf(grant), at) }
     }
 
-    private fun sendRequest(
-        request: Pending,
-        deadline: Long,
-    ) {
-        send(GatewayDatagram(sender = self.name, tokenAsk = request.ask), listOf(request.bucketOwner.peers))
-        request.timer =
-            scheduler.after(RETRY_MS) {
-                if (scheduler.now() + RETRY_MS < deadline) sendRequest(request, deadline) else awaitTimeout(request, deadline)
-            }
-    }
-
-    private fun awaitTimeout(
-        request: Pending,
-        deadline: Long,
-    ) {
-        request.timer =
-            scheduler.after(maxOf(0, deadline - scheduler.now())) {
-                val now = scheduler.now()
-                pending.remove(request.ask.number)
-                avoidedUntil[request.bucketOwner.name] = now + AVOID_UNRESPONSIVE_MS
-                request.done(TokenAnswer.NoAnswer, now)
-            }
+    private fun answerOf(grant: TokenGrant?): TokenAnswer = when {
+        grant == null -> TokenAnswer.NoAnswer
+        grant.isGranted -> TokenAnswer.Granted
+        else -> TokenAnswer.Refused(grant.waitMs)
     }
 
     /** Answers a request of [sender]; a repeated request gets the same answer as before. */
@@ -123,8 +75,7 @@
         sender: InstanceRecord,
         now: Long,
     ) {
-        val requestId = RequestId(sender.name, ask.startedAt, ask.number)
-        val answer = answers[requestId] ?: answer(ask, now)?.also { remember(requestId, it) } ?: return
+        val answer = answers.getOrDecide(RequestId(sender.name, ask.startedAt, ask.number)) { answer(ask, now) } ?: return
         send(GatewayDatagram(sender = self.name, tokenGrant = answer), listOf(sender.peers))
     }
 
@@ -137,23 +88,11 @@
         TokenAnswer.NoAnswer, null -> null
     }
 
-    private fun remember(
-        requestId: RequestId,
-        answer: TokenGrant,
-    ) {
-        answers[requestId] = answer
-        if (answers.size > MAX_REMEMBERED_ANSWERS) answers.remove(answers.keys.first())
-    }
-
     /** Handles the answer of a bucket owner. */
     fun receive(
         grant: TokenGrant,
         now: Long,
     ) {
-        if (grant.startedAt != self.startedAt) return
-        val request = pending.remove(grant.number) ?: return
-        request.timer?.cancel()
-        avoidedUntil.remove(request.bucketOwner.name)
-        request.done(if (grant.isGranted) TokenAnswer.Granted else TokenAnswer.Refused(grant.waitMs), now)
+        if (grant.startedAt == self.startedAt) requests.receive(grant.number, grant, now)
     }
 }
