Keep the calls of all instances within the limits that targets name

Cause: an answer's limit was forwarded to the caller and read by nobody. It is of a class with other facts that a target states about itself and the gateway didn't act upon. Ruled out: repeats, probes and orders (every arrival at the target is one call with one send in the logs), stale limits (one target-limit line for each instance, none later, in TargetLimitSpec), and limits kept by each instance alone (each of four sends over twice the limit by itself; that would be the next fault, so the sum is what is kept now).

Change: the instance that orders a target also grants the calls to it while it names a limit. Calls that don't get a permit go to other targets; adapters are loaded on targets without a limit first; where the limits leave no target, a call is refused at once with the time until the next permit. Nothing is sent for targets without a limit.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterPlacement.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterPlacement.kt
@@ -72,6 +72,7 @@
         if (best < MIN_COPY_DELAY_MS) return null
         return ranked(adapter.name, candidates - holders.toSet()).firstOrNull {
             isFreeFor(now, adapter, it) &&
+                !it.isLimited &&
                 selector.delayMs(now, it) < best * MAX_COPY_DELAY_RATIO
         }
     }
@@ -82,7 +83,8 @@
         available: List<TargetState>,
     ): TargetState {
         val ranking = ranked(adapter.name, available)
-        return ranking.firstOrNull { isFreeFor(now, adapter, it) && selector.delayMs(now, it) < BUSY_DELAY_MS }
+        return ranking.firstOrNull { isFreeFor(now, adapter, it) && !it.isLimited && selector.delayMs(now, it) < BUSY_DELAY_MS }
+            ?: ranking.firstOrNull { isFreeFor(now, adapter, it) && selector.delayMs(now, it) < BUSY_DELAY_MS }
             ?: ranking.firstOrNull { isFreeFor(now, adapter, it) }
             ?: ranking.first()
     }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -158,6 +158,7 @@
             AdapterPlacement(selector),
             CallAdmission(shares, keyFreshness, exchange.tokens, ::checkSuspension),
             exchange,
+            exchange.permits,
             random::nextDouble,
         )
     private val adapterManager =
@@ -185,7 +186,7 @@
         override val waitingCalls: Int get() = serving.waitingCalls
         override val instances: Int get() = serving.instanceCount
         override val suspectedTargets: Int get() = scheduler.now().let { now -> targets.all.count { it.isSuspected(now) } }
-        override val limitedTargets: Int get() = targets.all.count { it.callLimit.callsPerSecond != null }
+        override val limitedTargets: Int get() = targets.all.count { it.isLimited }
         override val configurationAgeMs: Long? get() = keyFreshness.ageOrNull(scheduler.now())
     }
 
--- /dev/null
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/FleetCallPermits.kt
@@ -0,0 +1,242 @@
+/*
+ * Permits for calls to targets that have named a limit for all instances together. The instance that gives orders to a target also grants
+ * the calls to it, so that the sum of many instances stays within the limit although the share of one would be less than a call. A request
+ * costs a datagram each way, and one request at a time is made for all calls of an instance that wait for the same target.
+ */
+package io.skylarkstile.gateway.peer
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import io.skylarkstile.config.log.event
+import io.skylarkstile.gateway.main.Scheduler
+import io.skylarkstile.gateway.membership.InstanceRecord
+import io.skylarkstile.gateway.membership.InstanceSet
+import io.skylarkstile.gateway.model.NamedLimit
+import io.skylarkstile.gateway.model.ResponseHead
+import io.skylarkstile.gateway.relay.CallPermits
+import io.skylarkstile.gateway.target.CallBucket
+import io.skylarkstile.gateway.target.CallGrant
+import io.skylarkstile.gateway.target.TargetState
+import io.skylarkstile.gateway.target.TargetTable
+import io.skylarkstile.schema.generated.CallPermitAsk
+import io.skylarkstile.schema.generated.CallPermitGrant
+import io.skylarkstile.schema.generated.GatewayDatagram
+import io.skylarkstile.schema.generated.TargetLimit
+import java.net.InetSocketAddress
+
+private val log = KotlinLogging.logger {}
+
+/** A limit that changes by less than this factor is not announced, since requests for permits contain it anyway. */
+private const val ANNOUNCED_CHANGE_FACTOR = 1.25
+
+private val SUCCESS_STATUSES = 200..299
+
+/** Requests permits for calls to [targets], and grants those for the targets whose orders [self] gives. Not thread-safe. */
+internal class FleetCallPermits(
+    private val self: InstanceRecord,
+    private val scheduler: Scheduler,
+    private val targets: TargetTable,
+    private val send: (GatewayDatagram, Collection<InetSocketAddress>) -> Unit,
+) : CallPermits {
+    private class Queue {
+        val calls = ArrayList<(Boolean) -> Unit>()
+        var isAsking = false
+    }
+
+    private val requests = PeerRequests<CallPermitGrant>(scheduler, send)
+    private val answers = RememberedAnswers<CallPermitGrant>()
+    private val queues = HashMap<String, Queue>()
+    private val buckets = HashMap<String, CallBucket>()
+
+    /** Buckets with this instance's share of a limit, for targets whose granting instance doesn't answer. */
+    private val shareBuckets = HashMap<String, CallBucket>()
+    private var instanceSet = InstanceSet.EMPTY
+
+    /** Applies a new set of instances. */
+    fun apply(set: InstanceSet) {
+        instanceSet = set
+        requests.clearAvoided()
+        buckets.keys.removeIf { targets[it] == null }
+        shareBuckets.keys.removeIf { targets[it] == null }
+    }
+
+    private fun grantingInstanceOrNull(target: String): InstanceRecord? =
+        instanceSet.orderHolderOrNull(target)?.let(instanceSet.members::get)
+
+    private fun isGrantedHere(target: String): Boolean = instanceSet.orderHolderOrNull(target) == self.name
+
+    override fun responseReceived(
+        target: TargetState,
+        head: ResponseHead,
+        sentAt: Long,
+    ) {
+        // A failure or a refusal may be sent by a part of the target that knows nothing of its limit.
+        if (head.namedLimit == NamedLimit.None && (!head.isSigned || head.status !in SUCCESS_STATUSES)) return
+        val now = scheduler.now()
+        val before = target.callLimit.callsPerSecond
+        if (!target.callLimit.observe(now, sentAt, head.namedLimit) || !isWorthAnnouncing(before, target)) return
+        limitChanged(target, before, self.name)
+        val granting = grantingInstanceOrNull(target.id)?.takeIf { it.name != self.name } ?: return
+        send(GatewayDatagram(sender = self.name, targetLimit = limitOf(target, now)), listOf(granting.peers))
+    }
+
+    private fun isWorthAnnouncing(
+        before: Double?,
+        target: TargetState,
+    ): Boolean {
+        val after = target.callLimit.callsPerSecond
+        if (before == null || after == null) return before != after
+        return maxOf(before, after) >= ANNOUNCED_CHANGE_FACTOR * minOf(before, after)
+    }
+
+    /** Logs a changed limit, and announces a new one to all instances if this one grants the calls to [target]. */
+    private fun limitChanged(
+        target: TargetState,
+        before: Double?,
+        source: String,
+    ) {
+        val after = target.callLimit.callsPerSecond
+        log.event(Level.INFO, "target-limit", "target" to target.id, "callsPerSecond" to after, "instance" to source) {
+            "target has changed the limit of calls that it accepts from all instances"
+        }
+        if (before != null || after == null || !isGrantedHere(target.id)) return
+        val others = instanceSet.members.values.filter { it.name != self.name }
+        send(GatewayDatagram(sender = self.name, targetLimit = limitOf(target, scheduler.now())), others.map { it.peers })
+    }
+
+    private fun limitOf(
+        target: TargetState,
+        now: Long,
+    ) = TargetLimit(target.id, target.callLimit.ageMs(now), target.callLimit.callsPerSecond)
+
+    /** Handles what [sender] says of the limit of a target. */
+    fun receive(
+        limit: TargetLimit,
+        sender: String,
+        now: Long,
+    ) {
+        val target = targets[limit.target] ?: return
+        val before = target.callLimit.callsPerSecond
+        if (target.callLimit.merge(limit.callsPerSecond, now - limit.ageMs) && isWorthAnnouncing(before, target)) {
+            limitChanged(target, before, sender)
+        }
+    }
+
+    override fun request(
+        target: TargetState,
+        done: (Boolean) -> Unit,
+    ) {
+        val queue = queues.getOrPut(target.id) { Queue() }
+        queue.calls.add(done)
+        if (!queue.isAsking) ask(target, queue)
+    }
+
+    private fun ask(
+        target: TargetState,
+        queue: Queue,
+    ) {
+        val now = scheduler.now()
+        val calls = queue.calls.size
+        val granting = grantingInstanceOrNull(target.id)
+        when {
+            granting == null || requests.isAvoided(granting.name, now) -> {
+                decide(target, queue, calls, shareOf(target, calls, now))
+            }
+
+            granting.name == self.name -> {
+                decide(target, queue, calls, grantOf(limitOf(target, now), calls, now))
+            }
+
+            else -> {
+                queue.isAsking = true
+                val datagramOf = { number: Long ->
+                    GatewayDatagram(self.name, permitAsk = CallPermitAsk(self.startedAt, number, calls, limitOf(target, now)))
+                }
+                requests.request(granting, now, datagramOf) { grant, at -> answered(target, queue, calls, grant, at) }
+            }
+        }
+    }
+
+    private fun answered(
+        target: TargetState,
+        queue: Queue,
+        calls: Int,
+        grant: CallPermitGrant?,
+        now: Long,
+    ) {
+        queue.isAsking = false
+        if (grant == null) return decide(target, queue, calls, shareOf(target, calls, now))
+        shareBuckets.remove(target.id)
+        receive(grant.limit, "grant", now)
+        decide(target, queue, calls, CallGrant(grant.calls, grant.waitMs))
+    }
+
+    /** Decides the waiting calls by the [grant] for the first [requested] of them; later ones need a request of their own. */
+    private fun decide(
+        target: TargetState,
+        queue: Queue,
+        requested: Int,
+        grant: CallGrant,
+    ) {
+        val isLimited = target.isLimited
+        val isUsedUp = isLimited && grant.calls < requested
+        if (isUsedUp) target.callLimit.block(scheduler.now() + grant.waitMs)
+        val waiting = queue.calls.toList()
+        queue.calls.clear()
+        val granted = waiting.take(if (isLimited) grant.calls else waiting.size)
+        val others = waiting.drop(granted.size)
+        if (!isUsedUp) queue.calls.addAll(others)
+        granted.forEach { it(true) }
+        if (isUsedUp) others.forEach { it(false) }
+        if (queue.isAsking) return
+        if (queue.calls.isEmpty()) queues.remove(target.id, queue) else ask(target, queue)
+    }
+
+    private fun shareOf(
+        target: TargetState,
+        calls: Int,
+        now: Long,
+    ): CallGrant {
+        val callsPerSecond = target.callLimit.callsPerSecond ?: return CallGrant(calls, 0)
+        val bucket = shareBuckets.getOrPut(target.id) { CallBucket(now) }
+        return bucket.take(now, calls, callsPerSecond / maxOf(1, instanceSet.members.size))
+    }
+
+    private fun grantOf(
+        limit: TargetLimit,
+        calls: Int,
+        now: Long,
+    ): CallGrant {
+        val callsPerSecond = limit.callsPerSecond ?: return CallGrant(calls, 0)
+        return buckets.getOrPut(limit.target) { CallBucket(now) }.take(now, calls, callsPerSecond)
+    }
+
+    /** Answers a request of [sender]; a repeated request gets the same answer as before. */
+    fun receive(
+        ask: CallPermitAsk,
+        sender: InstanceRecord,
+        now: Long,
+    ) {
+        receive(ask.limit, sender.name, now)
+        val answer = answers.getOrDecide(RequestId(sender.name, ask.startedAt, ask.number)) { answer(ask, now) } ?: return
+        send(GatewayDatagram(sender = self.name, permitGrant = answer), listOf(sender.peers))
+    }
+
+    private fun answer(
+        ask: CallPermitAsk,
+        now: Long,
+    ): CallPermitGrant {
+        // A target that this instance doesn't know yet is granted by what the sender knows.
+        val limit = targets[ask.limit.target]?.let { limitOf(it, now) } ?: ask.limit
+        val grant = grantOf(limit, ask.calls, now)
+        return CallPermitGrant(ask.startedAt, ask.number, grant.calls, grant.waitMs, limit)
+    }
+
+    /** Handles the answer of a granting instance. */
+    fun receive(
+        grant: CallPermitGrant,
+        now: Long,
+    ) {
+        if (grant.startedAt == self.startedAt) requests.receive(grant.number, grant, now)
+    }
+}
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
@@ -24,6 +24,7 @@
 import io.skylarkstile.gateway.membership.SetConfirmations
 import io.skylarkstile.gateway.model.AdapterVersion
 import io.skylarkstile.gateway.relay.AdapterDemand
+import io.skylarkstile.gateway.relay.CallPermits
 import io.skylarkstile.gateway.store.ChangesSource
 import io.skylarkstile.gateway.store.StoreKind
 import io.skylarkstile.gateway.target.CallWeight
@@ -108,6 +109,7 @@
     private val sentStates = LinkedHashMap<Long, SentState>()
     private val asked = ArrayList<String>()
     private val tokenGrants = TokenGrants(self, scheduler, shares, send)
+    private val callPermits = FleetCallPermits(self, scheduler, targets, send)
     private val targetUpdates = TargetUpdates("${self.name}/${self.startedAt}", targets, { adapterManager }, host::adaptersChanged)
     private var instanceSet = InstanceSet.EMPTY
     private var groups = FleetGroups(InstanceSet.EMPTY, self.name)
@@ -150,6 +152,9 @@
     /** Grants tokens of the workspaces' rate limits across the fleet. */
     val tokens: TokenSource get() = tokenGrants
 
+    /** Keeps the calls of the fleet within the limits that targets name. */
+    val permits: CallPermits get() = callPermits
+
     /** Applies a new set of instances. */
     fun apply(set: InstanceSet) {
         val before = groups
@@ -158,6 +163,7 @@
         if (before.ownMembers.map { it.name } != groups.ownMembers.map { it.name }) role.reset(scheduler.now())
         aggregator.apply(groups)
         tokenGrants.apply(groups)
+        callPermits.apply(set)
         peerStates.retain(if (groups.isDirect) set.members.keys else groups.ownMembers.mapTo(HashSet()) { it.name })
         if (groups.isDirect) {
             fleet = null
@@ -200,6 +206,9 @@
         datagram.fleetReport?.let { handleFleetReport(it, datagram.sender, now) }
         datagram.tokenAsk?.let { ask -> instanceSet.members[datagram.sender]?.let { tokenGrants.receive(ask, it, now) } }
         datagram.tokenGrant?.let { tokenGrants.receive(it, now) }
+        datagram.permitAsk?.let { ask -> instanceSet.members[datagram.sender]?.let { callPermits.receive(ask, it, now) } }
+        datagram.permitGrant?.let { callPermits.receive(it, now) }
+        datagram.targetLimit?.let { callPermits.receive(it, datagram.sender, now) }
     }
 
     private fun handleWish(
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -166,20 +166,17 @@
         stopWaiting()
         val now = serving.scheduler.now()
         if (deadlineAt - now < MIN_REMAINING_MS) return expire()
-        val limit = serving.connectionLimit(service)
-        val candidates =
-            serving.targets.ready(service).filter {
-                serving.pool.hasRoom(it.entry.address, limit) && (call.model == null || call.model in it.models)
-            }
+        val reachable = serving.reachableTargets(service, call.model)
+        val candidates = reachable.filter { !it.callLimit.isBlocked(now) }
         val adapter = call.adapter?.let(serving::currentVersion)
         if (adapter == null) {
-            val target = serving.selector.chooseOrNull(now, candidates, tried) ?: return waitForAnyTarget(now)
-            return send(target, null)
+            val target = serving.selector.chooseOrNull(now, candidates, tried) ?: return waitForAnyTarget(now, reachable)
+            return sendWithPermit(target, null)
         }
         when (val placement = serving.placement.place(now, adapter, candidates, tried)) {
             is Placement.Run -> {
                 serving.placement.copyTargetOrNull(now, adapter, candidates)?.let { serving.demand.requestAdapter(it, adapter) }
-                send(placement.target, adapter)
+                sendWithPermit(placement.target, adapter)
             }
 
             is Placement.LoadAndWait -> {
@@ -187,7 +184,7 @@
             }
 
             Placement.NoTarget -> {
-                waitForAnyTarget(now)
+                waitForAnyTarget(now, reachable)
             }
         }
     }
@@ -213,14 +210,33 @@
     }
 
     /**
-     * Waits until any target has room, for a share of the target latency. After a restart it takes about 0.1 s until the instances know
-     * what the targets have loaded, and a refused caller may retry only once.
+     * Waits until any of the [reachable] targets has room, for a share of the target latency. After a restart it takes about 0.1 s until
+     * the instances know what the targets have loaded, and a refused caller may retry only once. If no target takes a call before that
+     * time because of their limits, the call is refused at once.
      */
-    private fun waitForAnyTarget(now: Long) {
-        if (now - arrivedAt >= route.targetLatencyMs * TARGET_WAIT_SHARE) return giveUp("no-target-free", OVERLOAD_RETRY_AFTER_MS)
+    private fun waitForAnyTarget(
+        now: Long,
+        reachable: List<TargetState>,
+    ) {
+        val waitEndsAt = arrivedAt + (route.targetLatencyMs * TARGET_WAIT_SHARE).toLong()
+        val limitedUntil = limitedUntilOrNull(now, reachable)
+        if (limitedUntil != null && limitedUntil >= waitEndsAt) {
+            return giveUp("targets-limited", max(limitedUntil - now, OVERLOAD_RETRY_AFTER_MS))
+        }
+        if (now >= waitEndsAt) return giveUp("no-target-free", OVERLOAD_RETRY_AFTER_MS)
         waitFor(null, TARGET_RECHECK_MS)
     }
 
+    /** Returns when the first of [reachable] may take a call, if the limits that targets name block all of those that can be tried. */
+    private fun limitedUntilOrNull(
+        now: Long,
+        reachable: List<TargetState>,
+    ): Long? {
+        val usable = reachable.filter { it.id !in tried && it.load < MAX_LOAD }
+        val blockedUntil = usable.map { it.callLimit.blockedUntilOrNull(now) ?: return null }
+        return blockedUntil.minOrNull()
+    }
+
     private fun waitFor(
         target: String?,
         recheckMs: Long,
@@ -239,6 +255,22 @@
         serving.removeWaiting(this)
     }
 
+    /** Sends the call to [target], after a permit if the target has named a limit; without one, chooses another target. */
+    private fun sendWithPermit(
+        target: TargetState,
+        adapter: AdapterVersion?,
+    ) {
+        if (!target.isLimited) return send(target, adapter)
+        serving.permits.request(target) { isGranted ->
+            val isUsable = serving.targets[target.id] === target && target.entry.isReady
+            when {
+                isEnded -> Unit
+                isGranted && isUsable -> send(target, adapter)
+                else -> chooseTarget()
+            }
+        }
+    }
+
     private fun send(
         target: TargetState,
         adapter: AdapterVersion?,
@@ -278,7 +310,7 @@
         started.connection = connection
         started.isSent = true
         started.target.silence.callSent(now)
-        if (started.target.callLimit.callsPerSecond != null) serving.metrics.recordLimitedSend()
+        if (started.target.isLimited) serving.metrics.recordLimitedSend()
         sends++
         possibleExecutions++
         mayHaveExecuted = true
@@ -321,7 +353,7 @@
         responseTimer?.cancel()
         running.target.recordActivity(serving.scheduler.now())
         running.head = head
-        serving.observeLimit(running.target, head)
+        serving.permits.responseReceived(running.target, head, running.sentAt)
         running.target.promptProcessed(running.weight.unreadTokens)
         running.weight = running.weight.copy(unreadTokens = 0)
         val isSuccess = head.status in 200..299
@@ -500,7 +532,7 @@
         val now = serving.scheduler.now()
         if (possibleExecutions >= route.maxAttempts || serving.allowance(service).remaining(now, serving.instanceCount) < 1) return false
         val others = serving.targets.ready(service).filter { it.id !in tried && it !== attempt?.target }
-        return others.any { it.load < MAX_LOAD && !it.isSuspected(now) }
+        return others.any { it.load < MAX_LOAD && !it.isSuspected(now) && !it.callLimit.isBlocked(now) }
     }
 
     private fun retry(running: Attempt) {
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/RelayContext.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/RelayContext.kt
@@ -3,9 +3,6 @@
  */
 package io.skylarkstile.gateway.relay
 
-import io.github.oshai.kotlinlogging.KotlinLogging
-import io.github.oshai.kotlinlogging.Level
-import io.skylarkstile.config.log.event
 import io.skylarkstile.gateway.adapter.AdapterPlacement
 import io.skylarkstile.gateway.admission.CallAdmission
 import io.skylarkstile.gateway.main.GatewayMetrics
@@ -15,15 +12,11 @@
 import io.skylarkstile.gateway.model.AdapterVersion
 import io.skylarkstile.gateway.model.Configuration
 import io.skylarkstile.gateway.model.DeploymentLimits
-import io.skylarkstile.gateway.model.NamedLimit
-import io.skylarkstile.gateway.model.ResponseHead
 import io.skylarkstile.gateway.retry.RetryAllowance
 import io.skylarkstile.gateway.target.TargetSelector
 import io.skylarkstile.gateway.target.TargetState
 import io.skylarkstile.gateway.target.TargetTable
 
-private val log = KotlinLogging.logger {}
-
 /** Records which adapters calls wait for or use. */
 interface AdapterDemand {
     /** Requests [adapter] on [target], because a call waits for it or is the first to use it there. */
@@ -47,6 +40,7 @@
     val placement: AdapterPlacement,
     val admission: CallAdmission,
     val demand: AdapterDemand,
+    val permits: CallPermits,
     val random: () -> Double,
 ) {
     /** Limits the number of log lines about single calls. */
@@ -86,6 +80,15 @@
         return (limit * USABLE_CONNECTION_SHARE / instanceCount).toInt().coerceAtLeast(2)
     }
 
+    /** Returns the targets of [service] that have [model], or any if it is null, and room for another connection of this instance. */
+    fun reachableTargets(
+        service: String,
+        model: String?,
+    ): List<TargetState> {
+        val limit = connectionLimit(service)
+        return targets.ready(service).filter { pool.hasRoom(it.entry.address, limit) && (model == null || model in it.models) }
+    }
+
     fun begin(run: CallRun) {
         running.add(run)
     }
@@ -99,18 +102,6 @@
         running.toList().forEach { it.stop() }
     }
 
-    /** Applies and logs the limit that the response [head] of [target] names. Only the target itself can lift it, with a success. */
-    fun observeLimit(
-        target: TargetState,
-        head: ResponseHead,
-    ) {
-        if (head.namedLimit == NamedLimit.None && (!head.isSigned || head.status !in SUCCESS_STATUSES)) return
-        if (!target.callLimit.observe(head.namedLimit)) return
-        log.event(Level.INFO, "target-limit", "target" to target.id, "callsPerSecond" to target.callLimit.callsPerSecond) {
-            "target has changed the limit of calls that it accepts from all instances"
-        }
-    }
-
     /** Retries the repeatable calls on [target] elsewhere, because it doesn't respond. */
     fun targetUnresponsive(target: TargetState) {
         running.toList().forEach { it.targetUnresponsive(target) }
@@ -134,7 +125,6 @@
 
     private companion object {
         const val FIRST_VERSION = 1L
-        val SUCCESS_STATUSES = 200..299
 
         /** Share of a target's connections that the known instances use together; the rest covers instances that join or leave. */
         const val USABLE_CONNECTION_SHARE = 0.9
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetState.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetState.kt
@@ -46,6 +46,9 @@
 
     fun isOrderable(now: Long): Boolean = now < orderableUntil
 
+    /** True while the target names a limit of the calls that it accepts. */
+    val isLimited: Boolean get() = callLimit.callsPerSecond != null
+
     /** Returns whether calls should go elsewhere because the target seems to be gone. */
     fun isSuspected(now: Long): Boolean = health.isSuspect || silence.isSilent(now)
 
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/adapter/AdapterPlacementSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/adapter/AdapterPlacementSpec.kt
@@ -10,6 +10,7 @@
 import io.kotest.matchers.shouldNotBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import io.skylarkstile.gateway.adapter
+import io.skylarkstile.gateway.model.NamedLimit
 import io.skylarkstile.gateway.target
 import io.skylarkstile.gateway.target.AdapterPhase
 import io.skylarkstile.gateway.target.CallWeight
@@ -64,6 +65,16 @@
             placement().copyTargetOrNull(0, adapter("a"), targets) shouldBe null
         }
 
+        test("adapters are loaded on targets without a limit first, since calls for them would soon have to be loaded elsewhere again") {
+            val targets = List(4) { target("t-$it") }
+            val preferredId = preferredTarget("a", targets)
+            val limited = targets.first { it.id == preferredId }
+            limited.callLimit.observe(0, 0, NamedLimit.CallRate(4.0))
+            preferredTarget("a", targets) shouldNotBe preferredId
+            (targets - limited).forEach { it.addCall(CallWeight(1, 9_000, 9_000), null) }
+            preferredTarget("a", targets) shouldBe preferredId
+        }
+
         test("a new version isn't loaded over an older one, which would wait for running calls and block all other orders") {
             val targets = List(2) { target("t-$it") }
             val preferredId = preferredTarget("a", targets)
