Separate the search for a target from the run of a call

TargetSearch chooses a target, waits and requests permits; CallRun sends, forwards and retries. No behaviour changes; InstanceSpec, PlannedStopSpec, EndlessBytesSpec and TargetLimitSpec pass.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -1,6 +1,6 @@
 /*
- * Runs one admitted call: chooses a target, waits for an adapter, sends the request, forwards the response, and retries on another target
- * when the call was not executed or may be executed again.
+ * Runs one admitted call: sends the request to a target, forwards the response, and retries on another target when the call was not executed
+ * or may be executed again.
  */
 package io.skylarkstile.gateway.relay
 
@@ -14,7 +14,6 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
 import io.skylarkstile.config.log.event
-import io.skylarkstile.gateway.adapter.Placement
 import io.skylarkstile.gateway.admission.Admission
 import io.skylarkstile.gateway.http.forwardedHeaders
 import io.skylarkstile.gateway.main.Timer
@@ -32,7 +31,7 @@
 private val log = KotlinLogging.logger {}
 
 /** Remaining time below which a call is refused instead of sent, in milliseconds. */
-private const val MIN_REMAINING_MS = 10L
+internal const val MIN_REMAINING_MS = 10L
 
 /** Time before the deadline at which the gateway's own refusal is sent, so that it reaches the caller in time, in milliseconds. */
 private const val DEADLINE_MARGIN_MS = 15L
@@ -46,24 +45,6 @@
 /** Maximum number of targets that a call is sent to, counting those that did not execute it. */
 private const val MAX_SENDS = 4
 
-/** Interval at which a waiting call repeats its request for an adapter, since the message may be lost, in milliseconds. */
-private const val ADAPTER_REQUEST_INTERVAL_MS = 100L
-
-/**
- * Time after which a call stops waiting for an adapter and tries another target, in milliseconds. Loading an adapter takes a quarter of a
- * second, and a few times that under load.
- */
-private const val MAX_ADAPTER_WAIT_MS = 1_000L
-
-/** Share of the route's target latency during which a call waits for any target to have room. */
-private const val TARGET_WAIT_SHARE = 0.5
-
-/** Interval at which a call that waits for any target checks again, in milliseconds. */
-private const val TARGET_RECHECK_MS = 25L
-
-/** Retry-After value when all targets are full or gone, in milliseconds. */
-private const val OVERLOAD_RETRY_AFTER_MS = 300L
-
 /** Retry-After value when this instance shuts down, in milliseconds; the caller then uses another instance. */
 internal const val SHUTDOWN_RETRY_AFTER_MS = 20L
 
@@ -86,7 +67,6 @@
     private val deadlineAt = arrivedAt + min(call.deadlineMs ?: Long.MAX_VALUE, route.timeoutMs)
     private val weight =
         CallWeight(1, if (call.hasTokens) call.promptTokens + call.outputTokens else 0, if (call.hasTokens) call.promptTokens else 0)
-    private val tried = LinkedHashSet<String>()
     private val events = if (route.repeatability == Repeatability.ResumableStream) EventSplitter() else null
     private var sends = 0
     private var possibleExecutions = 0
@@ -100,17 +80,24 @@
     private var bufferedBody: ByteBuf? = null
     private var discarded = 0
     private var targetResponse: HttpResponse? = null
-    private var waitTimer: Timer? = null
     private var responseTimer: Timer? = null
     private val deadlineTimer = serving.scheduler.after(max(0, deadlineAt - DEADLINE_MARGIN_MS - arrivedAt)) { expire() }
 
-    private var waitingFor: String? = null
-    private var waitingSince = 0L
-    private var isWaiting = false
+    private val search = TargetSearch(serving, call, service, route, arrivedAt, deadlineAt, SearchResult())
+
+    private inner class SearchResult : TargetSearchListener {
+        override fun found(
+            target: TargetState,
+            adapter: AdapterVersion?,
+        ) = send(target, adapter)
 
-    /** Id of the target on which this call waits for an adapter; null while it waits for any target. */
-    var awaitsTarget: String? = null
-        private set
+        override fun notFound(
+            reason: String,
+            retryAfterMs: Long,
+        ) = giveUp(reason, retryAfterMs)
+
+        override fun expired() = expire()
+    }
 
     private class Attempt(
         val target: TargetState,
@@ -131,12 +118,7 @@
         serving.begin(this)
         serving.allowance(service).countRequest(serving.scheduler.now())
         call.adapter?.let { serving.demand.recordCall(serving.currentVersion(it)) }
-        chooseTarget()
-    }
-
-    /** Chooses a target again if the call is waiting. */
-    fun recheck() {
-        if (isWaiting && !isEnded) chooseTarget()
+        search.choose()
     }
 
     /** Ends the call because its caller has disconnected. */
@@ -162,115 +144,6 @@
         if (mode == ResponseMode.Forward) attempt?.connection?.setReading(isWritable)
     }
 
-    private fun chooseTarget() {
-        stopWaiting()
-        val now = serving.scheduler.now()
-        if (deadlineAt - now < MIN_REMAINING_MS) return expire()
-        val reachable = serving.reachableTargets(service, call.model)
-        val candidates = reachable.filter { !it.callLimit.isBlocked(now) }
-        val adapter = call.adapter?.let(serving::currentVersion)
-        if (adapter == null) {
-            val target = serving.selector.chooseOrNull(now, candidates, tried) ?: return waitForAnyTarget(now, reachable)
-            return sendWithPermit(target, null)
-        }
-        when (val placement = serving.placement.place(now, adapter, candidates, tried)) {
-            is Placement.Run -> {
-                serving.placement.copyTargetOrNull(now, adapter, candidates)?.let { serving.demand.requestAdapter(it, adapter) }
-                sendWithPermit(placement.target, adapter)
-            }
-
-            is Placement.LoadAndWait -> {
-                waitForAdapter(placement.target, adapter)
-            }
-
-            Placement.NoTarget -> {
-                waitForAnyTarget(now, reachable)
-            }
-        }
-    }
-
-    private fun waitForAdapter(
-        target: TargetState,
-        adapter: AdapterVersion,
-    ) {
-        val now = serving.scheduler.now()
-        if (waitingFor != target.id) {
-            waitingFor = target.id
-            waitingSince = now
-        }
-        if (now - waitingSince > MAX_ADAPTER_WAIT_MS) {
-            log.event(Level.INFO, "call-waited-in-vain", "call" to call.id, "target" to target.id, "adapter" to "$adapter") {
-                "adapter not loaded after ${now - waitingSince} ms, trying another target"
-            }
-            tried.add(target.id)
-            return chooseTarget()
-        }
-        waitFor(target.id, ADAPTER_REQUEST_INTERVAL_MS)
-        serving.demand.requestAdapter(target, adapter)
-    }
-
-    /**
-     * Waits until any of the [reachable] targets has room, for a share of the target latency. After a restart it takes about 0.1 s until
-     * the instances know what the targets have loaded, and a refused caller may retry only once. If no target takes a call before that
-     * time because of their limits, the call is refused at once.
-     */
-    private fun waitForAnyTarget(
-        now: Long,
-        reachable: List<TargetState>,
-    ) {
-        val waitEndsAt = arrivedAt + (route.targetLatencyMs * TARGET_WAIT_SHARE).toLong()
-        val limitedUntil = limitedUntilOrNull(now, reachable)
-        if (limitedUntil != null && limitedUntil >= waitEndsAt) {
-            return giveUp("targets-limited", max(limitedUntil - now, OVERLOAD_RETRY_AFTER_MS))
-        }
-        if (now >= waitEndsAt) return giveUp("no-target-free", OVERLOAD_RETRY_AFTER_MS)
-        waitFor(null, TARGET_RECHECK_MS)
-    }
-
-    /** Returns when the first of [reachable] may take a call, if the limits that targets name block all of those that can be tried. */
-    private fun limitedUntilOrNull(
-        now: Long,
-        reachable: List<TargetState>,
-    ): Long? {
-        val usable = reachable.filter { it.id !in tried && it.load < MAX_LOAD }
-        val blockedUntil = usable.map { it.callLimit.blockedUntilOrNull(now) ?: return null }
-        return blockedUntil.minOrNull()
-    }
-
-    private fun waitFor(
-        target: String?,
-        recheckMs: Long,
-    ) {
-        isWaiting = true
-        awaitsTarget = target
-        serving.addWaiting(this)
-        waitTimer = serving.scheduler.after(recheckMs) { recheck() }
-    }
-
-    private fun stopWaiting() {
-        if (!isWaiting) return
-        isWaiting = false
-        awaitsTarget = null
-        waitTimer?.cancel()
-        serving.removeWaiting(this)
-    }
-
-    /** Sends the call to [target], after a permit if the target has named a limit; without one, chooses another target. */
-    private fun sendWithPermit(
-        target: TargetState,
-        adapter: AdapterVersion?,
-    ) {
-        if (!target.isLimited) return send(target, adapter)
-        serving.permits.request(target) { isGranted ->
-            val isUsable = serving.targets[target.id] === target && target.entry.isReady
-            when {
-                isEnded -> Unit
-                isGranted && isUsable -> send(target, adapter)
-                else -> chooseTarget()
-            }
-        }
-    }
-
     private fun send(
         target: TargetState,
         adapter: AdapterVersion?,
@@ -531,17 +404,17 @@
     private fun canRetry(): Boolean {
         val now = serving.scheduler.now()
         if (possibleExecutions >= route.maxAttempts || serving.allowance(service).remaining(now, serving.instanceCount) < 1) return false
-        val others = serving.targets.ready(service).filter { it.id !in tried && it !== attempt?.target }
+        val others = serving.targets.ready(service).filter { !search.isExcluded(it) && it !== attempt?.target }
         return others.any { it.load < MAX_LOAD && !it.isSuspected(now) && !it.callLimit.isBlocked(now) }
     }
 
     private fun retry(running: Attempt) {
-        tried.add(running.target.id)
+        search.exclude(running.target)
         endAttempt()
         events?.dropIncompleteEvent()
         bufferedBody = null
         mode = ResponseMode.Undecided
-        chooseTarget()
+        search.choose()
     }
 
     /** Ends the current attempt and closes its connection if the response is incomplete. */
@@ -595,7 +468,7 @@
     private fun finish(outcome: String) {
         if (isEnded) return
         isEnded = true
-        stopWaiting()
+        search.stop()
         deadlineTimer.cancel()
         responseTimer?.cancel()
         body.release()
@@ -611,7 +484,7 @@
         serving.metrics.recordCallEnd(outcome, times.sentMs, times.headMs, times.totalMs)
         if (!serving.callLogLimiter.tryAcquire(now)) return
         val ended =
-            CallEnd(route.name, admitted.workspace?.name, attempt?.target?.id ?: waitingFor, sends, serving.configuration?.version)
+            CallEnd(route.name, admitted.workspace?.name, attempt?.target?.id ?: search.waitingFor, sends, serving.configuration?.version)
         logCallEnd(log, call, ended, times, outcome)
     }
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/RelayContext.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/RelayContext.kt
@@ -47,7 +47,7 @@
     val callLogLimiter = LogLineLimiter()
     val metrics = GatewayMetrics()
     private val allowances = HashMap<String, RetryAllowance>()
-    private val waiting = LinkedHashSet<CallRun>()
+    private val waiting = LinkedHashSet<TargetSearch>()
     var bounds: DeploymentLimits = bounds
         set(value) {
             if (value != field) allowances.clear()
@@ -107,12 +107,12 @@
         running.toList().forEach { it.targetUnresponsive(target) }
     }
 
-    fun addWaiting(run: CallRun) {
-        waiting.add(run)
+    fun addWaiting(search: TargetSearch) {
+        waiting.add(search)
     }
 
-    fun removeWaiting(run: CallRun) {
-        waiting.remove(run)
+    fun removeWaiting(search: TargetSearch) {
+        waiting.remove(search)
     }
 
     /** Lets the calls that wait for [target], or for any target, choose again. */
--- /dev/null
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetSearch.kt
@@ -0,0 +1,208 @@
+/*
+ * Finds a target for one call: chooses it, waits for its adapter or until any target has room, and requests a permit if the target has named
+ * a limit.
+ */
+package io.skylarkstile.gateway.relay
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import io.skylarkstile.config.log.event
+import io.skylarkstile.gateway.adapter.Placement
+import io.skylarkstile.gateway.main.Timer
+import io.skylarkstile.gateway.model.AdapterVersion
+import io.skylarkstile.gateway.model.CallHead
+import io.skylarkstile.gateway.model.Route
+import io.skylarkstile.gateway.target.MAX_LOAD
+import io.skylarkstile.gateway.target.TargetState
+import kotlin.math.max
+
+private val log = KotlinLogging.logger {}
+
+/** Interval at which a waiting call repeats its request for an adapter, since the message may be lost, in milliseconds. */
+private const val ADAPTER_REQUEST_INTERVAL_MS = 100L
+
+/**
+ * Time after which a call stops waiting for an adapter and tries another target, in milliseconds. Loading an adapter takes a quarter of a
+ * second, and a few times that under load.
+ */
+private const val MAX_ADAPTER_WAIT_MS = 1_000L
+
+/** Share of the route's target latency during which a call waits for any target to have room. */
+private const val TARGET_WAIT_SHARE = 0.5
+
+/** Interval at which a call that waits for any target checks again, in milliseconds. */
+private const val TARGET_RECHECK_MS = 25L
+
+/** Retry-After value when all targets are full or gone, in milliseconds. */
+internal const val OVERLOAD_RETRY_AFTER_MS = 300L
+
+/** Receives the results of a search; each call of [TargetSearch.choose] ends in one of them unless the search is stopped. */
+internal interface TargetSearchListener {
+    /** The call can be sent to [target], which has [adapter] if it isn't null. */
+    fun found(
+        target: TargetState,
+        adapter: AdapterVersion?,
+    )
+
+    /** No target takes the call soon; the caller may return after [retryAfterMs]. */
+    fun notFound(
+        reason: String,
+        retryAfterMs: Long,
+    )
+
+    /** The deadline of the call is too close to send it. */
+    fun expired()
+}
+
+/** Searches for one call that arrived at [arrivedAt]; all functions are called on the event loop. */
+internal class TargetSearch(
+    private val serving: RelayContext,
+    private val call: CallHead,
+    private val service: String,
+    private val route: Route,
+    private val arrivedAt: Long,
+    private val deadlineAt: Long,
+    private val listener: TargetSearchListener,
+) {
+    private val tried = LinkedHashSet<String>()
+    private var waitTimer: Timer? = null
+    private var waitingSince = 0L
+    private var isWaiting = false
+    private var isStopped = false
+
+    /** Id of the target on whose adapter this call has waited last, or null. */
+    var waitingFor: String? = null
+        private set
+
+    /** Id of the target on which this call waits for an adapter; null while it waits for any target. */
+    var awaitsTarget: String? = null
+        private set
+
+    /** Excludes [target] from further choices, because the call was sent there in vain. */
+    fun exclude(target: TargetState) {
+        tried.add(target.id)
+    }
+
+    fun isExcluded(target: TargetState): Boolean = target.id in tried
+
+    /** Ends the search; nothing is reported any more. */
+    fun stop() {
+        isStopped = true
+        stopWaiting()
+    }
+
+    /** Chooses a target again if the call is waiting. */
+    fun recheck() {
+        if (isWaiting && !isStopped) choose()
+    }
+
+    /** Chooses a target, or begins to wait for one. */
+    fun choose() {
+        stopWaiting()
+        val now = serving.scheduler.now()
+        if (deadlineAt - now < MIN_REMAINING_MS) return listener.expired()
+        val reachable = serving.reachableTargets(service, call.model)
+        val candidates = reachable.filter { !it.callLimit.isBlocked(now) }
+        val adapter = call.adapter?.let(serving::currentVersion)
+        if (adapter == null) {
+            val target = serving.selector.chooseOrNull(now, candidates, tried) ?: return waitForAnyTarget(now, reachable)
+            return requestPermit(target, null)
+        }
+        when (val placement = serving.placement.place(now, adapter, candidates, tried)) {
+            is Placement.Run -> {
+                serving.placement.copyTargetOrNull(now, adapter, candidates)?.let { serving.demand.requestAdapter(it, adapter) }
+                requestPermit(placement.target, adapter)
+            }
+
+            is Placement.LoadAndWait -> {
+                waitForAdapter(placement.target, adapter)
+            }
+
+            Placement.NoTarget -> {
+                waitForAnyTarget(now, reachable)
+            }
+        }
+    }
+
+    private fun waitForAdapter(
+        target: TargetState,
+        adapter: AdapterVersion,
+    ) {
+        val now = serving.scheduler.now()
+        if (waitingFor != target.id) {
+            waitingFor = target.id
+            waitingSince = now
+        }
+        if (now - waitingSince > MAX_ADAPTER_WAIT_MS) {
+            log.event(Level.INFO, "call-waited-in-vain", "call" to call.id, "target" to target.id, "adapter" to "$adapter") {
+                "adapter not loaded after ${now - waitingSince} ms, trying another target"
+            }
+            tried.add(target.id)
+            return choose()
+        }
+        waitFor(target.id, ADAPTER_REQUEST_INTERVAL_MS)
+        serving.demand.requestAdapter(target, adapter)
+    }
+
+    /**
+     * Waits until any of the [reachable] targets has room, for a share of the target latency. After a restart it takes about 0.1 s until
+     * the instances know what the targets have loaded, and a refused caller may retry only once. If no target takes a call before that
+     * time because of their limits, the call is refused at once.
+     */
+    private fun waitForAnyTarget(
+        now: Long,
+        reachable: List<TargetState>,
+    ) {
+        val waitEndsAt = arrivedAt + (route.targetLatencyMs * TARGET_WAIT_SHARE).toLong()
+        val limitedUntil = limitedUntilOrNull(now, reachable)
+        if (limitedUntil != null && limitedUntil >= waitEndsAt) {
+            return listener.notFound("targets-limited", max(limitedUntil - now, OVERLOAD_RETRY_AFTER_MS))
+        }
+        if (now >= waitEndsAt) return listener.notFound("no-target-free", OVERLOAD_RETRY_AFTER_MS)
+        waitFor(null, TARGET_RECHECK_MS)
+    }
+
+    /** Returns when the first of [reachable] may take a call, if the limits that targets name block all of those that can be tried. */
+    private fun limitedUntilOrNull(
+        now: Long,
+        reachable: List<TargetState>,
+    ): Long? {
+        val usable = reachable.filter { it.id !in tried && it.load < MAX_LOAD }
+        val blockedUntil = usable.map { it.callLimit.blockedUntilOrNull(now) ?: return null }
+        return blockedUntil.minOrNull()
+    }
+
+    private fun waitFor(
+        target: String?,
+        recheckMs: Long,
+    ) {
+        isWaiting = true
+        awaitsTarget = target
+        serving.addWaiting(this)
+        waitTimer = serving.scheduler.after(recheckMs) { recheck() }
+    }
+
+    private fun stopWaiting() {
+        if (!isWaiting) return
+        isWaiting = false
+        awaitsTarget = null
+        waitTimer?.cancel()
+        serving.removeWaiting(this)
+    }
+
+    /** Selects [target], after a permit if it has named a limit; without one, chooses another target. */
+    private fun requestPermit(
+        target: TargetState,
+        adapter: AdapterVersion?,
+    ) {
+        if (!target.isLimited) return listener.found(target, adapter)
+        serving.permits.request(target) { isGranted ->
+            val isUsable = serving.targets[target.id] === target && target.entry.isReady
+            when {
+                isStopped -> Unit
+                isGranted && isUsable -> listener.found(target, adapter)
+                else -> choose()
+            }
+        }
+    }
+}
