Schedule the calls to limited targets ahead, and load adapters there only with a permit

Change: the granting instance gives each call a time of its own, up to the call's patience, instead of refusing and being asked again; a permit comes before the load; another copy is only loaded on a target without a limit; what would wait too long is refused at once.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterPlacement.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterPlacement.kt
@@ -34,6 +34,11 @@
         val readyAt: Long?,
     ) : Placement
 
+    /** The targets that have the adapter or load it take no call before [until], because of their limits. */
+    data class Blocked(
+        val until: Long,
+    ) : Placement
+
     /** No target can take the call. */
     data object NoTarget : Placement
 }
@@ -42,7 +47,11 @@
 class AdapterPlacement(
     private val selector: TargetSelector,
 ) {
-    /** Places a call for [adapter] on one of [candidates]; [tried] holds the ids of targets on which this call has failed. */
+    /**
+     * Places a call for [adapter] on one of [candidates]; [tried] holds the ids of targets on which this call has failed. If the limits of
+     * the targets that have the adapter are used up, another copy is only loaded on a target without a limit: one with a limit takes no
+     * more calls for it, and would drop an adapter that others use.
+     */
     fun place(
         now: Long,
         adapter: AdapterVersion,
@@ -51,13 +60,16 @@
     ): Placement {
         val available = selector.available(now, candidates, tried)
         if (available.isEmpty()) return Placement.NoTarget
-        val holders = available.filter { it.adapters[adapter] == AdapterPhase.Present }
-        val best = holders.minByOrNull { selector.delayMs(now, it) }
+        val copies = available.filter { adapter in it.adapters }
+        val usable = copies.filter { !it.callLimit.isBlocked(now) }
+        val best = usable.filter { it.adapters[adapter] == AdapterPhase.Present }.minByOrNull { selector.delayMs(now, it) }
         if (best != null) return Placement.Run(best)
-        val loading = available.mapNotNull { target -> (target.adapters[adapter] as? AdapterPhase.Loading)?.let { target to it.readyAt } }
+        val loading = usable.mapNotNull { target -> (target.adapters[adapter] as? AdapterPhase.Loading)?.let { target to it.readyAt } }
         loading.minByOrNull { it.second }?.let { (target, readyAt) -> return Placement.LoadAndWait(target, readyAt) }
-        val orderable = available.filter { it.isOrderable(now) }
-        return if (orderable.isEmpty()) Placement.NoTarget else Placement.LoadAndWait(preferredTarget(now, adapter, orderable), null)
+        val loadable = available.filter { it.isOrderable(now) && !it.callLimit.isBlocked(now) && (copies.isEmpty() || !it.isLimited) }
+        if (loadable.isNotEmpty()) return Placement.LoadAndWait(preferredTarget(now, adapter, loadable), null)
+        val blockedUntil = copies.mapNotNull { it.callLimit.blockedUntilOrNull(now) }.minOrNull()
+        return blockedUntil?.let(Placement::Blocked) ?: Placement.NoTarget
     }
 
     /** Returns the target that should load another copy of [adapter] because those that have it are busy, or null if none should. */
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/FleetCallPermits.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/FleetCallPermits.kt
@@ -1,7 +1,7 @@
 /*
  * Permits for calls to targets that have named a limit for all instances together. The instance that gives orders to a target also grants
  * the calls to it, so that the sum of many instances stays within the limit although the share of one would be less than a call. A request
- * costs a datagram each way, and one request at a time is made for all calls of an instance that wait for the same target.
+ * costs a datagram each way; after a refusal, no calls are sent to the target for a while.
  */
 package io.skylarkstile.gateway.peer
 
@@ -14,8 +14,8 @@
 import io.skylarkstile.gateway.model.NamedLimit
 import io.skylarkstile.gateway.model.ResponseHead
 import io.skylarkstile.gateway.relay.CallPermits
-import io.skylarkstile.gateway.target.CallBucket
 import io.skylarkstile.gateway.target.CallGrant
+import io.skylarkstile.gateway.target.CallSchedule
 import io.skylarkstile.gateway.target.TargetState
 import io.skylarkstile.gateway.target.TargetTable
 import io.skylarkstile.schema.generated.CallPermitAsk
@@ -38,26 +38,20 @@
     private val targets: TargetTable,
     private val send: (GatewayDatagram, Collection<InetSocketAddress>) -> Unit,
 ) : CallPermits {
-    private class Queue {
-        val calls = ArrayList<(Boolean) -> Unit>()
-        var isAsking = false
-    }
-
     private val requests = PeerRequests<CallPermitGrant>(scheduler, send)
     private val answers = RememberedAnswers<CallPermitGrant>()
-    private val queues = HashMap<String, Queue>()
-    private val buckets = HashMap<String, CallBucket>()
+    private val schedules = HashMap<String, CallSchedule>()
 
-    /** Buckets with this instance's share of a limit, for targets whose granting instance doesn't answer. */
-    private val shareBuckets = HashMap<String, CallBucket>()
+    /** Schedules with this instance's share of a limit, for targets whose granting instance doesn't answer. */
+    private val shareSchedules = HashMap<String, CallSchedule>()
     private var instanceSet = InstanceSet.EMPTY
 
     /** Applies a new set of instances. */
     fun apply(set: InstanceSet) {
         instanceSet = set
         requests.clearAvoided()
-        buckets.keys.removeIf { targets[it] == null }
-        shareBuckets.keys.removeIf { targets[it] == null }
+        schedules.keys.removeIf { targets[it] == null }
+        shareSchedules.keys.removeIf { targets[it] == null }
     }
 
     private fun grantingInstanceOrNull(target: String): InstanceRecord? =
@@ -124,91 +118,71 @@
 
     override fun request(
         target: TargetState,
-        done: (Boolean) -> Unit,
-    ) {
-        val queue = queues.getOrPut(target.id) { Queue() }
-        queue.calls.add(done)
-        if (!queue.isAsking) ask(target, queue)
-    }
-
-    private fun ask(
-        target: TargetState,
-        queue: Queue,
+        maxWaitMs: Long,
+        done: (CallGrant) -> Unit,
     ) {
         val now = scheduler.now()
-        val calls = queue.calls.size
+        val limit = limitOf(target, now)
         val granting = grantingInstanceOrNull(target.id)
         when {
             granting == null || requests.isAvoided(granting.name, now) -> {
-                decide(target, queue, calls, shareOf(target, calls, now))
+                decide(target, scheduleShare(target, maxWaitMs, now), now, done)
             }
 
             granting.name == self.name -> {
-                decide(target, queue, calls, grantOf(limitOf(target, now), calls, now))
+                decide(target, schedule(limit, maxWaitMs, now), now, done)
             }
 
             else -> {
-                queue.isAsking = true
                 val datagramOf = { number: Long ->
-                    GatewayDatagram(self.name, permitAsk = CallPermitAsk(self.startedAt, number, calls, limitOf(target, now)))
+                    GatewayDatagram(self.name, permitAsk = CallPermitAsk(self.startedAt, number, maxWaitMs, limit))
+                }
+                requests.request(granting, now, datagramOf) { answer, at ->
+                    decide(target, grantOf(answer, target, maxWaitMs, at), at, done)
                 }
-                requests.request(granting, now, datagramOf) { grant, at -> answered(target, queue, calls, grant, at) }
             }
         }
     }
 
-    private fun answered(
+    private fun grantOf(
+        answer: CallPermitGrant?,
         target: TargetState,
-        queue: Queue,
-        calls: Int,
-        grant: CallPermitGrant?,
+        maxWaitMs: Long,
         now: Long,
-    ) {
-        queue.isAsking = false
-        if (grant == null) return decide(target, queue, calls, shareOf(target, calls, now))
-        shareBuckets.remove(target.id)
-        receive(grant.limit, "grant", now)
-        decide(target, queue, calls, CallGrant(grant.calls, grant.waitMs))
+    ): CallGrant {
+        if (answer == null) return scheduleShare(target, maxWaitMs, now)
+        shareSchedules.remove(target.id)
+        receive(answer.limit, "granting instance", now)
+        return CallGrant(answer.isGranted, answer.waitMs)
     }
 
-    /** Decides the waiting calls by the [grant] for the first [requested] of them; later ones need a request of their own. */
     private fun decide(
         target: TargetState,
-        queue: Queue,
-        requested: Int,
         grant: CallGrant,
+        now: Long,
+        done: (CallGrant) -> Unit,
     ) {
-        val isLimited = target.isLimited
-        val isUsedUp = isLimited && grant.calls < requested
-        if (isUsedUp) target.callLimit.block(scheduler.now() + grant.waitMs)
-        val waiting = queue.calls.toList()
-        queue.calls.clear()
-        val granted = waiting.take(if (isLimited) grant.calls else waiting.size)
-        val others = waiting.drop(granted.size)
-        if (!isUsedUp) queue.calls.addAll(others)
-        granted.forEach { it(true) }
-        if (isUsedUp) others.forEach { it(false) }
-        if (queue.isAsking) return
-        if (queue.calls.isEmpty()) queues.remove(target.id, queue) else ask(target, queue)
+        if (!grant.isGranted) target.callLimit.block(now + grant.waitMs)
+        done(grant)
     }
 
-    private fun shareOf(
+    private fun scheduleShare(
         target: TargetState,
-        calls: Int,
+        maxWaitMs: Long,
         now: Long,
     ): CallGrant {
-        val callsPerSecond = target.callLimit.callsPerSecond ?: return CallGrant(calls, 0)
-        val bucket = shareBuckets.getOrPut(target.id) { CallBucket(now) }
-        return bucket.take(now, calls, callsPerSecond / maxOf(1, instanceSet.members.size))
+        val callsPerSecond = target.callLimit.callsPerSecond ?: return UNLIMITED
+        val share = callsPerSecond / maxOf(1, instanceSet.members.size)
+        return shareSchedules.getOrPut(target.id) { CallSchedule(now) }.schedule(now, maxWaitMs, share)
     }
 
-    private fun grantOf(
+    private fun schedule(
         limit: TargetLimit,
-        calls: Int,
+        maxWaitMs: Long,
         now: Long,
     ): CallGrant {
-        val callsPerSecond = limit.callsPerSecond ?: return CallGrant(calls, 0)
-        return buckets.getOrPut(limit.target) { CallBucket(now) }.take(now, calls, callsPerSecond)
+        val callsPerSecond = limit.callsPerSecond ?: return UNLIMITED
+        return schedules.getOrPut(limit.target) { CallSchedule(now) }.schedule(now, maxWaitMs, callsPerSecond)
     }
 
     /** Answers a request of [sender]; a repeated request gets the same answer as before. */
@@ -228,8 +202,8 @@
     ): CallPermitGrant {
         // A target that this instance doesn't know yet is granted by what the sender knows.
         val limit = targets[ask.limit.target]?.let { limitOf(it, now) } ?: ask.limit
-        val grant = grantOf(limit, ask.calls, now)
-        return CallPermitGrant(ask.startedAt, ask.number, grant.calls, grant.waitMs, limit)
+        val grant = schedule(limit, ask.maxWaitMs, now)
+        return CallPermitGrant(ask.startedAt, ask.number, grant.isGranted, grant.waitMs, limit)
     }
 
     /** Handles the answer of a granting instance. */
@@ -239,4 +213,8 @@
     ) {
         if (grant.startedAt == self.startedAt) requests.receive(grant.number, grant, now)
     }
+
+    private companion object {
+        val UNLIMITED = CallGrant(true, 0)
+    }
 }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallPermits.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallPermits.kt
@@ -4,6 +4,7 @@
 package io.skylarkstile.gateway.relay
 
 import io.skylarkstile.gateway.model.ResponseHead
+import io.skylarkstile.gateway.target.CallGrant
 import io.skylarkstile.gateway.target.TargetState
 
 /** Keeps the calls of all instances within the limits that targets name. */
@@ -16,11 +17,12 @@
     )
 
     /**
-     * Requests a permit for one call to [target], which has named a limit. [done] receives whether it is granted, exactly once and within
-     * some tens of milliseconds; if it isn't, the target is blocked for a while.
+     * Requests a permit for one call to [target], which has named a limit; the call can wait for [maxWaitMs] milliseconds. [done] receives
+     * the answer exactly once, within some tens of milliseconds. A refusal blocks the target for a while.
      */
     fun request(
         target: TargetState,
-        done: (Boolean) -> Unit,
+        maxWaitMs: Long,
+        done: (CallGrant) -> Unit,
     )
 }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetSearch.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetSearch.kt
@@ -12,6 +12,7 @@
 import io.skylarkstile.gateway.model.AdapterVersion
 import io.skylarkstile.gateway.model.CallHead
 import io.skylarkstile.gateway.model.Route
+import io.skylarkstile.gateway.target.AdapterPhase
 import io.skylarkstile.gateway.target.MAX_LOAD
 import io.skylarkstile.gateway.target.TargetState
 import kotlin.math.max
@@ -60,16 +61,27 @@
     private val call: CallHead,
     private val service: String,
     private val route: Route,
-    private val arrivedAt: Long,
+    arrivedAt: Long,
     private val deadlineAt: Long,
     private val listener: TargetSearchListener,
 ) {
+    /** Time until which the call waits for a target. */
+    private val waitEndsAt = arrivedAt + (route.targetLatencyMs * TARGET_WAIT_SHARE).toLong()
     private val tried = LinkedHashSet<String>()
     private var waitTimer: Timer? = null
     private var waitingSince = 0L
     private var isWaiting = false
     private var isStopped = false
 
+    private class Permit(
+        val target: TargetState,
+        val adapter: AdapterVersion?,
+        val usableAt: Long,
+    )
+
+    /** Permit for a target that has named a limit, until the call is sent there. */
+    private var permit: Permit? = null
+
     /** Id of the target on whose adapter this call has waited last, or null. */
     var waitingFor: String? = null
         private set
@@ -101,29 +113,65 @@
         stopWaiting()
         val now = serving.scheduler.now()
         if (deadlineAt - now < MIN_REMAINING_MS) return listener.expired()
-        val reachable = serving.reachableTargets(service, call.model)
-        val candidates = reachable.filter { !it.callLimit.isBlocked(now) }
         val adapter = call.adapter?.let(serving::currentVersion)
+        // A newer version isn't loaded on a target that has the older one, so the permit is of no use for it.
+        permit?.takeIf { it.adapter == adapter }?.let { return proceed(it.target, adapter, it.usableAt) }
+        val reachable = serving.reachableTargets(service, call.model)
         if (adapter == null) {
-            val target = serving.selector.chooseOrNull(now, candidates, tried) ?: return waitForAnyTarget(now, reachable)
-            return requestPermit(target, null)
+            val target = serving.selector.chooseOrNull(now, reachable.filter { !it.callLimit.isBlocked(now) }, tried)
+            return if (target == null) waitForAnyTarget(now, limitedUntilOrNull(now, reachable)) else requestPermit(target, null)
         }
-        when (val placement = serving.placement.place(now, adapter, candidates, tried)) {
+        when (val placement = serving.placement.place(now, adapter, reachable, tried)) {
             is Placement.Run -> {
-                serving.placement.copyTargetOrNull(now, adapter, candidates)?.let { serving.demand.requestAdapter(it, adapter) }
+                serving.placement.copyTargetOrNull(now, adapter, reachable)?.let { serving.demand.requestAdapter(it, adapter) }
                 requestPermit(placement.target, adapter)
             }
 
             is Placement.LoadAndWait -> {
-                waitForAdapter(placement.target, adapter)
+                requestPermit(placement.target, adapter)
+            }
+
+            is Placement.Blocked -> {
+                waitForAnyTarget(now, placement.until)
             }
 
             Placement.NoTarget -> {
-                waitForAnyTarget(now, reachable)
+                waitForAnyTarget(now, limitedUntilOrNull(now, reachable))
             }
         }
     }
 
+    /**
+     * Goes on with [target], after a permit if it has named a limit; without one, chooses another target. The permit comes before the
+     * adapter is loaded, because a load without a permit would be in vain.
+     */
+    private fun requestPermit(
+        target: TargetState,
+        adapter: AdapterVersion?,
+    ) {
+        val now = serving.scheduler.now()
+        if (!target.isLimited) return proceed(target, adapter, now)
+        serving.permits.request(target, maxOf(0, waitEndsAt - now)) { grant ->
+            if (grant.isGranted) permit = Permit(target, adapter, serving.scheduler.now() + grant.waitMs)
+            if (!isStopped) choose()
+        }
+    }
+
+    /** Reports [target], or waits until it has [adapter] and until [usableAt], unless its limit is lifted. */
+    private fun proceed(
+        target: TargetState,
+        adapter: AdapterVersion?,
+        usableAt: Long,
+    ) {
+        val isUsable = serving.targets[target.id] === target && target.entry.isReady
+        val isLoaded = adapter == null || target.adapters[adapter] == AdapterPhase.Present
+        if (isUsable && !isLoaded) return waitForAdapter(target, checkNotNull(adapter))
+        val waitMs = usableAt - serving.scheduler.now()
+        if (isUsable && waitMs > 0 && target.isLimited) return waitFor(target.id, waitMs)
+        permit = null
+        if (isUsable) listener.found(target, adapter) else choose()
+    }
+
     private fun waitForAdapter(
         target: TargetState,
         adapter: AdapterVersion,
@@ -138,6 +186,7 @@
                 "adapter not loaded after ${now - waitingSince} ms, trying another target"
             }
             tried.add(target.id)
+            permit = null
             return choose()
         }
         waitFor(target.id, ADAPTER_REQUEST_INTERVAL_MS)
@@ -145,17 +194,15 @@
     }
 
     /**
-     * Waits until any of the [reachable] targets has room, for a share of the target latency. After a restart it takes about 0.1 s until
-     * the instances know what the targets have loaded, and a refused caller may retry only once. If no target takes a call before that
-     * time because of their limits, the call is refused at once.
+     * Waits until any target has room, for a share of the target latency. After a restart it takes about 0.1 s until the instances know
+     * what the targets have loaded, and a refused caller may retry only once. If limits block all suitable targets until [limitedUntil], the
+     * call is refused at once: the calls that have permits already take longer than it can wait.
      */
     private fun waitForAnyTarget(
         now: Long,
-        reachable: List<TargetState>,
+        limitedUntil: Long?,
     ) {
-        val waitEndsAt = arrivedAt + (route.targetLatencyMs * TARGET_WAIT_SHARE).toLong()
-        val limitedUntil = limitedUntilOrNull(now, reachable)
-        if (limitedUntil != null && limitedUntil >= waitEndsAt) {
+        if (limitedUntil != null) {
             return listener.notFound("targets-limited", max(limitedUntil - now, OVERLOAD_RETRY_AFTER_MS))
         }
         if (now >= waitEndsAt) return listener.notFound("no-target-free", OVERLOAD_RETRY_AFTER_MS)
@@ -189,20 +236,4 @@
         waitTimer?.cancel()
         serving.removeWaiting(this)
     }
-
-    /** Selects [target], after a permit if it has named a limit; without one, chooses another target. */
-    private fun requestPermit(
-        target: TargetState,
-        adapter: AdapterVersion?,
-    ) {
-        if (!target.isLimited) return listener.found(target, adapter)
-        serving.permits.request(target) { isGranted ->
-            val isUsable = serving.targets[target.id] === target && target.entry.isReady
-            when {
-                isStopped -> Unit
-                isGranted && isUsable -> listener.found(target, adapter)
-                else -> choose()
-            }
-        }
-    }
 }
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/adapter/AdapterPlacementSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/adapter/AdapterPlacementSpec.kt
@@ -75,6 +75,17 @@
             preferredTarget("a", targets) shouldBe preferredId
         }
 
+        test("an adapter whose only copy is on a target with a used-up limit is copied to a target without a limit, but to no other") {
+            val targets = List(3) { target("t-$it") }
+            targets.forEach { it.callLimit.observe(0, 0, NamedLimit.CallRate(4.0)) }
+            targets[0].adapters = mapOf(adapter("a") to AdapterPhase.Present)
+            targets[0].callLimit.block(700)
+            placement().place(0, adapter("a"), targets, emptySet()) shouldBe Placement.Blocked(700)
+            val free = target("free")
+            placement().place(0, adapter("a"), targets + free, emptySet()) shouldBe Placement.LoadAndWait(free, null)
+            placement().place(700, adapter("a"), targets + free, emptySet()) shouldBe Placement.Run(targets[0])
+        }
+
         test("a new version isn't loaded over an older one, which would wait for running calls and block all other orders") {
             val targets = List(2) { target("t-$it") }
             val preferredId = preferredTarget("a", targets)
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/peer/FleetCallPermitsSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/peer/FleetCallPermitsSpec.kt
@@ -29,6 +29,7 @@
 /** The limit binds this long after it was first named, in milliseconds. */
 private const val CONTACT_MS = 3_000L
 private const val RESPONSE_MS = 20L
+private const val MAX_WAIT_MS = 60L
 
 private fun responseHead(named: NamedLimit) = ResponseHead(
     status = 200,
@@ -88,7 +89,9 @@
         fun call() {
             if (isSilent || target.callLimit.isBlocked(scheduler.now())) return
             if (!target.isLimited) return sendCall()
-            permits.request(target) { if (it) sendCall() }
+            permits.request(target, MAX_WAIT_MS) { grant ->
+                if (grant.isGranted) scheduler.after(grant.waitMs) { sendCall() }
+            }
         }
 
         private fun sendCall() {
