Let permits for limited targets run out

A permit now counts from its request and runs out 1 s after its time, which a load may take. TargetSearchSpec plays the pause and failed before. The granting instance's name stands in the log line of a limit learned from its answer.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/FleetCallPermits.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/FleetCallPermits.kt
@@ -138,7 +138,7 @@
                     GatewayDatagram(self.name, permitAsk = CallPermitAsk(self.startedAt, number, maxWaitMs, limit))
                 }
                 requests.request(granting, now, datagramOf) { answer, at ->
-                    decide(target, grantOf(answer, target, maxWaitMs, at), at, done)
+                    decide(target, grantOf(answer, granting.name, target, maxWaitMs, at), at, done)
                 }
             }
         }
@@ -146,13 +146,14 @@
 
     private fun grantOf(
         answer: CallPermitGrant?,
+        sender: String,
         target: TargetState,
         maxWaitMs: Long,
         now: Long,
     ): CallGrant {
         if (answer == null) return scheduleShare(target, maxWaitMs, now)
         shareSchedules.remove(target.id)
-        receive(answer.limit, "granting instance", now)
+        receive(answer.limit, sender, now)
         return CallGrant(answer.isGranted, answer.waitMs)
     }
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetSearch.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetSearch.kt
@@ -28,6 +28,9 @@
  */
 private const val MAX_ADAPTER_WAIT_MS = 1_000L
 
+/** A permit may be used for this long after the time for which it was given, in milliseconds; its adapter may be loaded meanwhile. */
+private const val PERMIT_VALIDITY_MS = MAX_ADAPTER_WAIT_MS
+
 /** Share of the route's target latency during which a call waits for any target to have room. */
 private const val TARGET_WAIT_SHARE = 0.5
 
@@ -115,7 +118,9 @@
         if (deadlineAt - now < MIN_REMAINING_MS) return listener.expired()
         val adapter = call.adapter?.let(serving::currentVersion)
         // A newer version isn't loaded on a target that has the older one, so the permit is of no use for it.
-        permit?.takeIf { it.adapter == adapter }?.let { return proceed(it.target, adapter, it.usableAt) }
+        permit?.takeIf { it.adapter == adapter && now <= it.usableAt + PERMIT_VALIDITY_MS }?.let {
+            return proceed(it.target, adapter, it.usableAt)
+        }
         val reachable = serving.reachableTargets(service, call.model)
         if (adapter == null) {
             val target = serving.selector.chooseOrNull(now, reachable.filter { !it.callLimit.isBlocked(now) }, tried)
@@ -151,8 +156,10 @@
     ) {
         val now = serving.scheduler.now()
         if (!target.isLimited) return proceed(target, adapter, now)
-        serving.permits.request(target, maxOf(0, waitEndsAt - now)) { grant ->
-            if (grant.isGranted) permit = Permit(target, adapter, serving.scheduler.now() + grant.waitMs)
+        val maxWaitMs = maxOf(0, minOf(waitEndsAt, deadlineAt - MIN_REMAINING_MS) - now)
+        serving.permits.request(target, maxWaitMs) { grant ->
+            // Counted from the request: an answer that is read after this process stood still is old.
+            if (grant.isGranted) permit = Permit(target, adapter, now + grant.waitMs)
             if (!isStopped) choose()
         }
     }
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/relay/TargetSearchSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/relay/TargetSearchSpec.kt
@@ -72,6 +72,7 @@
     var grant: CallGrant,
 ) : CallPermits {
     val maxWaits = ArrayList<Long>()
+    var answerDelayMs = 0L
 
     override fun responseReceived(
         target: TargetState,
@@ -85,8 +86,9 @@
         done: (CallGrant) -> Unit,
     ) {
         maxWaits.add(maxWaitMs)
-        if (!grant.isGranted) target.callLimit.block(scheduler.now() + grant.waitMs)
-        done(grant)
+        val answer = grant
+        if (!answer.isGranted) target.callLimit.block(scheduler.now() + answer.waitMs)
+        if (answerDelayMs == 0L) done(answer) else scheduler.after(answerDelayMs) { done(answer) }
     }
 }
 
@@ -229,6 +231,19 @@
             }
         }
 
+        test("a permit isn't used by a process that stood still after its request until long after the permitted time") {
+            Search(CallGrant(true, 45)).use {
+                it.target("t-1", hasAdapter = true)
+                it.permits.answerDelayMs = 3_000
+                it.start()
+                it.scheduler.advance(2_999)
+                it.permits.grant = CallGrant(false, 700)
+                it.permits.answerDelayMs = 0
+                it.scheduler.advance(100)
+                it.results shouldBe listOf("targets-limited, return after 700")
+            }
+        }
+
         test("a call whose adapter is on a limited target goes to one without a limit") {
             Search(CallGrant(false, 700)).use {
                 it.target("t-1", hasAdapter = true)
