Count a handler of HttpServerSpec as cancelled also while it sends

No code of the module has changed.

Cause: the test's handler sends a byte before the try whose end the test awaits. The caller leaves on that byte, and the cancellation may arrive before the send has returned. The byte is now sent within the try; the check is the same.

--- a/skylarkstile-transport/src/test/kotlin/io/skylarkstile/transport/http/HttpServerSpec.kt
+++ b/skylarkstile-transport/src/test/kotlin/io/skylarkstile/transport/http/HttpServerSpec.kt
@@ -53,8 +53,8 @@
                             200,
                             HttpHeaders(),
                             flow {
-                                emit("x".toByteArray())
                                 try {
+                                    emit("x".toByteArray())
                                     awaitCancellation()
                                 } finally {
                                     ended.complete(Unit)
