--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/GatewayMetrics.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/GatewayMetrics.kt
@@ -54,6 +54,13 @@
             .name("skylarkstile_gateway_limited_sends_total")
             .help("Calls sent to targets that had named a limit.")
             .register(registry)
+    private val lostCalls =
+        Counter
+            .builder()
+            .name("skylarkstile_gateway_lost_calls_total")
+            .help("Calls whose target closed the connection before the response was complete.")
+            .labelNames("started")
+            .register(registry)
     private val seconds = latency("skylarkstile_gateway_call_seconds", "Time from the arrival of a call to its end, in seconds.")
     private val sendSeconds =
         latency("skylarkstile_gateway_send_seconds", "Time from the arrival of a call until it was sent to a target, in seconds.")
@@ -106,6 +113,9 @@
     /** Records a call sent to a target that had named a limit. */
     fun recordLimitedSend() = limitedSends.inc()
 
+    /** Records a call whose target closed the connection; [hasStarted] is true if the response had started. */
+    fun recordLostCall(hasStarted: Boolean) = lostCalls.labelValues("$hasStarted").inc()
+
     /** Records a call that ended with [outcome]. Times are in milliseconds since its arrival, or null for steps that were not reached. */
     fun recordCallEnd(
         outcome: String,
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/Call.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/Call.kt
@@ -23,6 +23,8 @@
     val hasTokens: Boolean,
     /** Id of the last event that the caller of a resumed stream has received. */
     val lastEventId: String?,
+    /** Ids of the parts of the prompt that other calls may share, in order; the last part, which is the call's own, isn't among them. */
+    val sharedParts: List<String> = emptyList(),
 ) {
     val path: String get() = uri.substringBefore('?')
 }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -108,6 +108,7 @@
         var isOver = false
         var isSent = false
         var head: ResponseHead? = null
+        var respondedAt: Long? = null
 
         /** Load that this attempt still adds to its target. */
         var weight = CallWeight.NONE
@@ -226,6 +227,7 @@
         responseTimer?.cancel()
         running.target.recordActivity(serving.scheduler.now())
         running.head = head
+        running.respondedAt = serving.scheduler.now()
         serving.permits.responseReceived(running.target, head, running.sentAt)
         running.target.promptProcessed(running.weight.unreadTokens)
         running.weight = running.weight.copy(unreadTokens = 0)
@@ -377,13 +379,10 @@
 
     override fun disconnected(reason: String) {
         val running = attempt ?: return
-        if (running.head ==
-            null
-        ) {
-            running.target.health.recordUnreachable(serving.scheduler.now())
-        } else {
-            running.target.health.recordFailure(serving.scheduler.now())
-        }
+        val now = serving.scheduler.now()
+        val hasStarted = running.head != null
+        serving.metrics.recordLostCall(hasStarted)
+        if (hasStarted) running.target.health.recordFailure(now) else running.target.health.recordUnreachable(now)
         failed(running, reason)
     }
 
@@ -392,9 +391,16 @@
         running: Attempt,
         reason: String,
     ) {
-        log.event(Level.INFO, "call-failed-at-target", "call" to call.id, "target" to running.target.id, "reason" to reason) {
-            "call failed on its target"
-        }
+        log.event(
+            Level.INFO,
+            "call-failed-at-target",
+            "call" to call.id,
+            "target" to running.target.id,
+            "arrivals" to sends,
+            "respondedMs" to running.respondedAt?.let { serving.scheduler.now() - it },
+            "sharedParts" to call.sharedParts.joinToString(","),
+            "reason" to reason,
+        ) { "call failed on its target" }
         if (route.isRepeatable && canRetry()) return retry(running)
         endAttempt()
         if (isResponseStarted) abortResponse(reason) else refuse(BAD_GATEWAY, "target-failed", null)
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/main/GatewayMetricsPageSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/main/GatewayMetricsPageSpec.kt
@@ -46,6 +46,7 @@
                 register(NoGauges)
                 recordRefusal("over-rate")
                 recordOrder(OrderOutcome.Done)
+                recordLostCall(true)
                 recordCallEnd("served", 1, 2, 3)
             }
             val rows =
