Refuse calls with a prompt part under which target after target has crashed

Cause: each call was an unrelated one to the code. Nothing remembered what the calls of targets that ended had in common, so calls with the part went on to any target that was left. The class: input that ends its reader is passed on to the next reader.

Change: an instance whose calls lose their connections tests with a new connection whether the target has crashed, and reports the shared parts of calls that had just begun to be answered to three counting instances in different data centres. Those count crashes and successful calls of all instances by part, and tell all instances which parts are suspected, blocked and released. A part is blocked from three crashes on if they outnumber its successes and are unlikely to be chance; a part that is blocked explains its crashes, so they accuse no other part. Blocked calls are refused with 503 before they are sent (checked last when the connection is there). A call that lost two targets, or has a suspected part, isn't sent again. Without crashes nothing is sent; a call costs a look into an empty map and a note of its parts when it succeeds.

FleetCrashReportsSpec plays 1, 6, 95 and 300 instances with lost datagrams, frozen instances and crashes by chance.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -30,6 +30,7 @@
 import io.skylarkstile.gateway.http.ControlClient
 import io.skylarkstile.gateway.http.MAX_STORE_RESPONSE_BYTES
 import io.skylarkstile.gateway.membership.InstanceRecord
+import io.skylarkstile.gateway.membership.InstanceSet
 import io.skylarkstile.gateway.membership.Membership
 import io.skylarkstile.gateway.membership.OrderLease
 import io.skylarkstile.gateway.membership.formatAddress
@@ -38,6 +39,7 @@
 import io.skylarkstile.gateway.model.AdapterVersion
 import io.skylarkstile.gateway.model.Configuration
 import io.skylarkstile.gateway.model.GatewaySettings
+import io.skylarkstile.gateway.peer.FleetCrashReports
 import io.skylarkstile.gateway.peer.FleetWatchTiming
 import io.skylarkstile.gateway.peer.PeerExchange
 import io.skylarkstile.gateway.peer.PeerHost
@@ -63,6 +65,7 @@
 import io.skylarkstile.gateway.target.TargetSelector
 import io.skylarkstile.gateway.target.TargetState
 import io.skylarkstile.gateway.target.TargetTable
+import io.skylarkstile.schema.generated.GatewayDatagram
 import kotlin.random.Random
 
 private val log = KotlinLogging.logger {}
@@ -134,7 +137,7 @@
     private val lease = OrderLease(settings.instance, settings.bounds.leaseMs)
     private val pool = TargetConnectionPool(loop, scheduler, platform.codec)
     private val selector = TargetSelector(settings.dataCentre, random::nextDouble)
-    private val socket = PeerSocket(settings.linkMbps, scheduler) { exchange.receive(it) }
+    private val socket = PeerSocket(settings.linkMbps, scheduler, ::receive)
     private val exchange: PeerExchange =
         PeerExchange(
             self,
@@ -147,6 +150,7 @@
             GatewayPeerHost(),
             socket::send,
         )
+    private val crashReports = FleetCrashReports(self, scheduler, targets, pool::checkReachable, socket::send)
     private val serving: RelayContext =
         RelayContext(
             settings.bounds,
@@ -159,6 +163,7 @@
             CallAdmission(shares, keyFreshness, exchange.tokens, ::checkSuspension),
             exchange,
             exchange.permits,
+            crashReports,
             random::nextDouble,
         )
     private val adapterManager =
@@ -175,7 +180,7 @@
         )
     private val prober = TargetProber(targets, ::probe, scheduler::now) { serving.targetUnresponsive(it) }
     private val membership =
-        Membership(self, platform.store, scheduler, lease, ::targetIds, exchange, livenessCheck(peerClient), exchange::apply, ::relistSet)
+        Membership(self, platform.store, scheduler, lease, ::targetIds, exchange, livenessCheck(peerClient), ::applySet, ::relistSet)
     private val suspension = SuspensionDetector(scheduler.now(), System.currentTimeMillis())
     private val callers = HashSet<CallerConnection>()
     private var slowTickAt = 0L
@@ -187,6 +192,7 @@
         override val instances: Int get() = serving.instanceCount
         override val suspectedTargets: Int get() = scheduler.now().let { now -> targets.all.count { it.isSuspected(now) } }
         override val limitedTargets: Int get() = targets.all.count { it.isLimited }
+        override val blockedParts: Int get() = crashReports.blockedParts()
         override val configurationAgeMs: Long? get() = keyFreshness.ageOrNull(scheduler.now())
     }
 
@@ -342,10 +348,20 @@
             }
         return "instances ${membership.instanceSet.members.keys} keysAgeMs=${keyFreshness.ageOrNull(
             now,
-        )} waiting=${serving.waitingCalls}\n" +
+        )} waiting=${serving.waitingCalls} blockedParts=${crashReports.blockedParts()}\n" +
             lines.joinToString("\n")
     }
 
+    private fun receive(datagram: GatewayDatagram) {
+        exchange.receive(datagram)
+        crashReports.receive(datagram)
+    }
+
+    private fun applySet(set: InstanceSet) {
+        exchange.apply(set)
+        crashReports.apply(set)
+    }
+
     private fun targetIds(): List<String> = targets.all.map { it.id }
 
     /** Lists the instances again after a record turned out to be newer than the view, which omits changes irrelevant to other instances. */
@@ -410,6 +426,7 @@
         shares.rebalance(now, exchange.demandElsewhere(), FleetStatus(exchange.instances(), exchange.isFleetKnown(now), exchange.isDirect))
         membership.maintain()
         adapterManager.refresh()
+        crashReports.tick(now)
         pool.closeExpired()
         val omitted = serving.callLogLimiter.takeOmitted()
         if (omitted > 0) log.event(Level.INFO, "lines-omitted", "lines" to omitted) { "log lines about calls were omitted" }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/GatewayMetrics.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/GatewayMetrics.kt
@@ -18,6 +18,7 @@
     val instances: Int
     val suspectedTargets: Int
     val limitedTargets: Int
+    val blockedParts: Int
 
     /** Age in milliseconds of the last confirmation that the configuration is current; null when there is none. */
     val configurationAgeMs: Long?
@@ -88,6 +89,9 @@
         gauge("skylarkstile_gateway_limited_targets", "Targets that have named a limit of the calls that they accept.") {
             gauges.limitedTargets.toDouble()
         }
+        gauge("skylarkstile_gateway_blocked_parts", "Shared prompt parts whose calls are refused because targets crashed under them.") {
+            gauges.blockedParts.toDouble()
+        }
         gauge("skylarkstile_gateway_configuration_age_seconds", "Time since the configuration was last confirmed; -1 if never.") {
             gauges.configurationAgeMs?.let { it / MS_PER_S } ?: -1.0
         }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -45,6 +45,9 @@
 /** Maximum number of targets that a call is sent to, counting those that did not execute it. */
 private const val MAX_SENDS = 4
 
+/** Number of targets that may close the connection of a call; it isn't sent again then, because it may be what ends them. */
+private const val MAX_LOST_CONNECTIONS = 2
+
 /** Retry-After value when this instance shuts down, in milliseconds; the caller then uses another instance. */
 internal const val SHUTDOWN_RETRY_AFTER_MS = 20L
 
@@ -79,6 +82,7 @@
     private var attempt: Attempt? = null
     private var bufferedBody: ByteBuf? = null
     private var discarded = 0
+    private var lostConnections = 0
     private var targetResponse: HttpResponse? = null
     private var responseTimer: Timer? = null
     private val deadlineTimer = serving.scheduler.after(max(0, deadlineAt - DEADLINE_MARGIN_MS - arrivedAt)) { expire() }
@@ -116,8 +120,10 @@
 
     /** Starts the call. */
     fun start() {
+        val now = serving.scheduler.now()
         serving.begin(this)
-        serving.allowance(service).countRequest(serving.scheduler.now())
+        serving.allowance(service).countRequest(now)
+        serving.crashGuard.blockedUntilOrNull(call.sharedParts, now)?.let { return giveUp(PART_BLOCKED, it - now) }
         call.adapter?.let { serving.demand.recordCall(serving.currentVersion(it)) }
         search.choose()
     }
@@ -176,10 +182,12 @@
             return retry(started)
         }
         val remaining = deadlineAt - now
-        if (remaining < MIN_REMAINING_MS) {
+        val blockedUntil = serving.crashGuard.blockedUntilOrNull(call.sharedParts, now)
+        if (remaining < MIN_REMAINING_MS || blockedUntil != null) {
             connection.onIdle(null)
-            return expire()
+            return if (blockedUntil == null) expire() else giveUp(PART_BLOCKED, blockedUntil - now)
         }
+        serving.crashGuard.callSent(call.sharedParts, now)
         sentAt = now
         started.connection = connection
         started.isSent = true
@@ -332,6 +340,7 @@
         running.target.health.recordResponse(now)
         release(running)
         if (events != null && events.bufferedBytes > 0) return abortResponse("incomplete-event")
+        serving.crashGuard.callServed(call.sharedParts, now)
         caller.end()
         finish("served")
     }
@@ -343,6 +352,7 @@
     ) {
         if (head.status >= SERVER_ERROR) running.target.health.recordFailure(now) else running.target.health.recordResponse(now)
         release(running)
+        if (head.status in 200..299) serving.crashGuard.callServed(call.sharedParts, now)
         val response = targetResponse ?: return
         val whole = bufferedBody ?: Unpooled.EMPTY_BUFFER
         val length =
@@ -381,7 +391,9 @@
         val running = attempt ?: return
         val now = serving.scheduler.now()
         val hasStarted = running.head != null
+        lostConnections++
         serving.metrics.recordLostCall(hasStarted)
+        serving.crashGuard.callLost(running.target, call.sharedParts, running.respondedAt, now)
         if (hasStarted) running.target.health.recordFailure(now) else running.target.health.recordUnreachable(now)
         failed(running, reason)
     }
@@ -410,6 +422,7 @@
     private fun canRetry(): Boolean {
         val now = serving.scheduler.now()
         if (possibleExecutions >= route.maxAttempts || serving.allowance(service).remaining(now, serving.instanceCount) < 1) return false
+        if (lostConnections >= MAX_LOST_CONNECTIONS || serving.crashGuard.isSuspected(call.sharedParts, now)) return false
         val others = serving.targets.ready(service).filter { !search.isExcluded(it) && it !== attempt?.target }
         return others.any { it.load < MAX_LOAD && !it.isSuspected(now) && !it.callLimit.isBlocked(now) }
     }
@@ -495,6 +508,7 @@
     }
 
     private companion object {
+        const val PART_BLOCKED = "prompt-part-blocked"
         const val MIN_RESPONSE_TIMEOUT_MS = 250L
         const val SERVER_ERROR = 500
         const val MISDIRECTED = 421
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/RelayContext.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/RelayContext.kt
@@ -41,6 +41,7 @@
     val admission: CallAdmission,
     val demand: AdapterDemand,
     val permits: CallPermits,
+    val crashGuard: CrashGuard,
     val random: () -> Double,
 ) {
     /** Limits the number of log lines about single calls. */
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetConnectionPool.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetConnectionPool.kt
@@ -63,6 +63,15 @@
         connect(address, pool, done)
     }
 
+    /** Opens a new connection to [address], closes it, and passes to [done] whether it was accepted. */
+    fun checkReachable(
+        address: InetSocketAddress,
+        done: (Boolean) -> Unit,
+    ) = connect(address, addresses.getOrPut(address) { AddressPool() }) { connection ->
+        connection?.abandon()
+        done(connection != null)
+    }
+
     /** Closes the idle connections to [address], because its target is gone. */
     fun closeIdle(address: InetSocketAddress) {
         val pool = addresses[address] ?: return
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/Samples.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/Samples.kt
@@ -18,6 +18,7 @@
 import io.skylarkstile.gateway.model.Workspace
 import io.skylarkstile.gateway.target.TargetState
 import java.net.InetSocketAddress
+import java.util.PriorityQueue
 import kotlin.random.Random
 
 fun adapter(
@@ -66,7 +67,7 @@
         val action: () -> Unit,
     )
 
-    private val pending = ArrayList<Pending>()
+    private val pending = PriorityQueue<Pending>(compareBy({ it.at }, { it.sequence }))
     private var time = 0L
     private var nextSequence = 0L
 
@@ -84,8 +85,8 @@
     fun advance(ms: Long) {
         val end = time + ms
         while (true) {
-            val next = pending.filter { it.at <= end }.minWithOrNull(compareBy({ it.at }, { it.sequence })) ?: break
-            pending.remove(next)
+            val next = pending.peek()?.takeIf { it.at <= end } ?: break
+            pending.poll()
             time = maxOf(time, next.at)
             next.action()
         }
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/main/GatewayMetricsPageSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/main/GatewayMetricsPageSpec.kt
@@ -19,6 +19,7 @@
     override val instances = 1
     override val suspectedTargets = 0
     override val limitedTargets = 0
+    override val blockedParts = 0
     override val configurationAgeMs: Long? = null
 }
 
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/relay/TargetSearchSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/relay/TargetSearchSpec.kt
@@ -92,6 +92,36 @@
     }
 }
 
+/** Blocks and records nothing. */
+private object NoCrashes : CrashGuard {
+    override fun blockedUntilOrNull(
+        parts: List<String>,
+        now: Long,
+    ): Long? = null
+
+    override fun isSuspected(
+        parts: List<String>,
+        now: Long,
+    ) = false
+
+    override fun callSent(
+        parts: List<String>,
+        now: Long,
+    ) = Unit
+
+    override fun callLost(
+        target: TargetState,
+        parts: List<String>,
+        respondedAt: Long?,
+        now: Long,
+    ) = Unit
+
+    override fun callServed(
+        parts: List<String>,
+        now: Long,
+    ) = Unit
+}
+
 private class RecordedDemand : AdapterDemand {
     val requested = ArrayList<String>()
 
@@ -129,6 +159,7 @@
             CallAdmission(shares, Freshness(1_000)),
             demand,
             permits,
+            NoCrashes,
         ) { 0.5 }
     private val search = TargetSearch(context, call(), "models", route("/", service = "models", timeoutMs = 5_000), 0, 5_000, this)
     val results = ArrayList<String>()
