Pass on no refusal for a call that a target may have run

With the call's id the extra refusal was skipped; without one, as refusals come on this platform, it was taken for the answer to the next call. Now a refusal ends its connection, so the first one on a reused connection is no repetition, and any other response without an id on a reused connection counts as lost.

Beside it: an unsigned 503, 429 or 408 that doesn't say that the call wasn't run was forwarded as it came, a promise that nobody made. The caller gets 502, or the call is repeated where it may be.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -239,7 +239,7 @@
         serving.permits.responseReceived(running.target, head, running.sentAt)
         running.target.promptProcessed(running.weight.unreadTokens)
         running.weight = running.weight.copy(unreadTokens = 0)
-        val isSuccess = head.status in 200..299
+        val isSuccess = head.status in SUCCESS_STATUSES
         mode =
             when {
                 head.isNotExecuted || isUnusable(head) -> ResponseMode.Discard
@@ -254,8 +254,12 @@
         if (mode == ResponseMode.Forward && !isResponseStarted) begin(response)
     }
 
-    /** Returns whether the response can't come from a target: it has a content encoding, or is successful but unsigned. */
-    private fun isUnusable(head: ResponseHead): Boolean = head.hasContentEncoding || (head.status in 200..299 && !head.isSigned)
+    /**
+     * Returns whether the response can't come from a target: it has a content encoding, or it isn't signed although it is successful or has a
+     * status that promises the caller that the call wasn't run.
+     */
+    private fun isUnusable(head: ResponseHead): Boolean =
+        head.hasContentEncoding || (!head.isSigned && (head.status in SUCCESS_STATUSES || head.status in PROMISING_STATUSES))
 
     private fun begin(response: HttpResponse) {
         isResponseStarted = true
@@ -352,7 +356,7 @@
     ) {
         if (head.status >= SERVER_ERROR) running.target.health.recordFailure(now) else running.target.health.recordResponse(now)
         release(running)
-        if (head.status in 200..299) serving.crashGuard.callServed(call.sharedParts, now)
+        if (head.status in SUCCESS_STATUSES) serving.crashGuard.callServed(call.sharedParts, now)
         val response = targetResponse ?: return
         val whole = bufferedBody ?: Unpooled.EMPTY_BUFFER
         val length =
@@ -510,6 +514,8 @@
     private companion object {
         const val PART_BLOCKED = "prompt-part-blocked"
         const val MIN_RESPONSE_TIMEOUT_MS = 250L
+        val SUCCESS_STATUSES = 200..299
+        val PROMISING_STATUSES = setOf(408, 421, 429, 503)
         const val SERVER_ERROR = 500
         const val MISDIRECTED = 421
         const val BAD_GATEWAY = 502
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetConnection.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetConnection.kt
@@ -136,20 +136,21 @@
         isSkipping = head.status < FIRST_FINAL_STATUS || (head.callId != null && head.callId != callId)
         if (isSkipping) return
         if (mayAnswerEarlierCall(head)) {
-            failure = "successful response without call id on a reused connection"
+            failure = "response without call id on a reused connection"
             channel.close()
             return
         }
         responseHead = head
-        if (!HttpUtil.isKeepAlive(response)) isClosing = true
+        // A target may write a refusal once more, without a call id; on a connection in use again it would refuse a call that runs.
+        if (!HttpUtil.isKeepAlive(response) || head.isNotExecuted) isClosing = true
         currentListener.head(head, response)
     }
 
     /**
-     * Returns whether a response may belong to an earlier call on this connection: a target may respond twice, and a successful response
-     * without a call id cannot be attributed.
+     * Returns whether a response may belong to an earlier call on this connection: a target may respond twice, and a response without a call id
+     * cannot be attributed. Refusals often have none, but they end their connection, so one on a reused connection is the first there.
      */
-    private fun mayAnswerEarlierCall(head: ResponseHead): Boolean = callCount > 1 && head.callId == null && head.status in SUCCESS_STATUSES
+    private fun mayAnswerEarlierCall(head: ResponseHead): Boolean = callCount > 1 && head.callId == null && !head.isNotExecuted
 
     private fun content(part: HttpContent) {
         val currentListener = listener
@@ -193,7 +194,6 @@
 
     private companion object {
         const val FIRST_FINAL_STATUS = 200
-        val SUCCESS_STATUSES = 200..299
     }
 }
 
