Take a stream that ends inside an event for broken off, and resume it only with a stream

Callers could get a broken stream that looked complete: a stream that may not be resumed was forwarded without a look at its events, and one without length or chunks ends with its connection, also when its target ends. Now such a stream is cut off when it ends inside an event, and a resumable one is continued on another target instead of being cut off. The end of an answer without length or chunks is no longer a success for the parts of its prompt, since its target may have crashed; whether it has is tested with a connection.

One gap was found from reading and is closed: a signed success of another content type, such as an error in JSON with an empty line, is discarded now.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -71,6 +71,8 @@
     private val weight =
         CallWeight(1, if (call.hasTokens) call.promptTokens + call.outputTokens else 0, if (call.hasTokens) call.promptTokens else 0)
     private val events = if (route.repeatability == Repeatability.ResumableStream) EventSplitter() else null
+    private var boundary: EventBoundary? = null
+    private val isInsideEvent: Boolean get() = boundary?.isInsideEvent ?: (events != null && events.bufferedBytes > 0)
     private var sends = 0
     private var possibleExecutions = 0
     private var mode = ResponseMode.Undecided
@@ -81,6 +83,7 @@
     private var mayHaveExecuted = false
     private var attempt: Attempt? = null
     private var bufferedBody: ByteBuf? = null
+    private var contentType: String? = null
     private var discarded = 0
     private var lostConnections = 0
     private var targetResponse: HttpResponse? = null
@@ -243,7 +246,7 @@
         mode =
             when {
                 head.isNotExecuted || isUnusable(head) -> ResponseMode.Discard
-                isResponseStarted && !isSuccess -> ResponseMode.Discard
+                isResponseStarted && (!isSuccess || !hasSameContentType(response)) -> ResponseMode.Discard
                 isResponseStarted -> ResponseMode.Forward
                 route.isStream && isSuccess -> ResponseMode.Forward
                 else -> ResponseMode.Buffer
@@ -254,6 +257,16 @@
         if (mode == ResponseMode.Forward && !isResponseStarted) begin(response)
     }
 
+    /** Returns whether [response] can continue the stream that has been forwarded so far. */
+    private fun hasSameContentType(response: HttpResponse): Boolean = contentTypeOf(response) == contentType
+
+    private fun contentTypeOf(response: HttpResponse): String? = response
+        .headers()
+        .get(HttpHeaderNames.CONTENT_TYPE)
+        ?.substringBefore(';')
+        ?.trim()
+        ?.lowercase()
+
     /**
      * Returns whether the response can't come from a target: it has a content encoding, or it isn't signed although it is successful or has a
      * status that promises the caller that the call wasn't run.
@@ -264,6 +277,9 @@
     private fun begin(response: HttpResponse) {
         isResponseStarted = true
         responseStartedAt = serving.scheduler.now()
+        contentType = contentTypeOf(response)
+        val isEventStream = contentType == EVENT_STREAM || (contentType == null && attempt?.head?.endsWithConnection == true)
+        if (route.repeatability == Repeatability.OnceStream && isEventStream) boundary = EventBoundary()
         // The length of one target's stream is not valid when another target may continue it.
         val length =
             response
@@ -311,6 +327,7 @@
 
     private fun forward(data: ByteBuf) {
         if (events == null) {
+            boundary?.add(data)
             caller.writeBody(data)
         } else {
             val whole = events.add(ByteBufUtil.getBytes(data))
@@ -341,10 +358,10 @@
         running: Attempt,
         now: Long,
     ) {
+        if (isInsideEvent) return connectionLost(running, "stream ended inside an event")
         running.target.health.recordResponse(now)
         release(running)
-        if (events != null && events.bufferedBytes > 0) return abortResponse("incomplete-event")
-        serving.crashGuard.callServed(call.sharedParts, now)
+        recordServed(running, now)
         caller.end()
         finish("served")
     }
@@ -356,7 +373,7 @@
     ) {
         if (head.status >= SERVER_ERROR) running.target.health.recordFailure(now) else running.target.health.recordResponse(now)
         release(running)
-        if (head.status in SUCCESS_STATUSES) serving.crashGuard.callServed(call.sharedParts, now)
+        recordServed(running, now)
         val response = targetResponse ?: return
         val whole = bufferedBody ?: Unpooled.EMPTY_BUFFER
         val length =
@@ -391,8 +408,28 @@
         retry(running)
     }
 
+    /** Records that the target has completed the response of [running]. */
+    private fun recordServed(
+        running: Attempt,
+        now: Long,
+    ) {
+        val head = running.head ?: return
+        if (head.endsWithConnection) {
+            // The end of the connection may as well be the end of the target.
+            serving.crashGuard.callLost(running.target, call.sharedParts, running.respondedAt, now)
+        } else if (head.status in SUCCESS_STATUSES) {
+            serving.crashGuard.callServed(call.sharedParts, now)
+        }
+    }
+
     override fun disconnected(reason: String) {
-        val running = attempt ?: return
+        attempt?.let { connectionLost(it, reason) }
+    }
+
+    private fun connectionLost(
+        running: Attempt,
+        reason: String,
+    ) {
         val now = serving.scheduler.now()
         val hasStarted = running.head != null
         lostConnections++
@@ -512,6 +549,7 @@
     }
 
     private companion object {
+        const val EVENT_STREAM = "text/event-stream"
         const val PART_BLOCKED = "prompt-part-blocked"
         const val MIN_RESPONSE_TIMEOUT_MS = 250L
         val SUCCESS_STATUSES = 200..299
