Send no calls to a target that says that it leaves or wants a pause

A target that leaves says so in its answers (`Server-Leaving: 1`) before its entry does, or while the store is away, and one that refuses a call with 503 may want nothing from this instance for a time (`Retry-After`).

The codec decodes both into ResponseHead, and TargetAvailability, one for each run of a target, decides with the named limit whether and when it may get a call. Searching, placing, repeats, calls that waited for an adapter or a connection, and orders ask it. Where pauses leave no target, a call is refused at once with the time until the first ends, spread by a fifth. After a pause, one call goes first. A pause of 0, less than 0, a date or no number is none, and one over ten minutes counts as ten minutes; any value of leaving but 1 is ignored; such values are counted. Answers with 421 come from another target and are not used.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterManager.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterManager.kt
@@ -129,7 +129,7 @@
     private fun sendNext(state: HeldTargetState) {
         if (state.isBusy || held[state.target.id] !== state) return
         val now = scheduler.now()
-        if (!state.target.entry.isReady) return
+        if (!state.target.acceptsCalls) return
         // Reports are read even before the lease permits orders, so that calls can use the adapters already present.
         if (state.slots.needsReport) return report(state, now)
         fleet.checkSuspension()
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterPlacement.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterPlacement.kt
@@ -34,7 +34,7 @@
         val readyAt: Long?,
     ) : Placement
 
-    /** The targets that have the adapter or load it take no call before [until], because of their limits. */
+    /** The targets that have the adapter or load it take no call before [until], because of their limits or pauses. */
     data class Blocked(
         val until: Long,
     ) : Placement
@@ -61,14 +61,14 @@
         val available = selector.available(now, candidates, tried)
         if (available.isEmpty()) return Placement.NoTarget
         val copies = available.filter { adapter in it.adapters }
-        val usable = copies.filter { !it.callLimit.isBlocked(now) }
+        val usable = copies.filter { !it.availability.isBlocked(now) }
         val best = usable.filter { it.adapters[adapter] == AdapterPhase.Present }.minByOrNull { selector.delayMs(now, it) }
         if (best != null) return Placement.Run(best)
         val loading = usable.mapNotNull { target -> (target.adapters[adapter] as? AdapterPhase.Loading)?.let { target to it.readyAt } }
         loading.minByOrNull { it.second }?.let { (target, readyAt) -> return Placement.LoadAndWait(target, readyAt) }
-        val loadable = available.filter { it.isOrderable(now) && !it.callLimit.isBlocked(now) && (copies.isEmpty() || !it.isLimited) }
+        val loadable = available.filter { it.isOrderable(now) && !it.availability.isBlocked(now) && (copies.isEmpty() || !it.isLimited) }
         if (loadable.isNotEmpty()) return Placement.LoadAndWait(preferredTarget(now, adapter, loadable), null)
-        val blockedUntil = copies.mapNotNull { it.callLimit.blockedUntilOrNull(now) }.minOrNull()
+        val blockedUntil = copies.mapNotNull { it.availability.blockedUntilOrNull(now) }.minOrNull()
         return blockedUntil?.let(Placement::Blocked) ?: Placement.NoTarget
     }
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -192,6 +192,8 @@
         override val instances: Int get() = serving.instanceCount
         override val suspectedTargets: Int get() = scheduler.now().let { now -> targets.all.count { it.isSuspected(now) } }
         override val limitedTargets: Int get() = targets.all.count { it.isLimited }
+        override val leavingTargets: Int get() = targets.all.count { it.availability.isLeaving }
+        override val pausedTargets: Int get() = scheduler.now().let { now -> targets.all.count { it.availability.isPaused(now) } }
         override val blockedParts: Int get() = crashReports.blockedParts()
         override val configurationAgeMs: Long? get() = keyFreshness.ageOrNull(scheduler.now())
     }
@@ -344,7 +346,8 @@
         val lines =
             targets.all.map {
                 "${it.id} ${it.entry.service} own=${it.ownWeight} peers=${it.otherInstancesWeight} " +
-                    "limit=${it.callLimit.callsPerSecond} adapters=${it.adapters}"
+                    "limit=${it.callLimit.callsPerSecond} leaving=${it.availability.isLeaving} " +
+                    "blockedMs=${it.availability.blockedUntilOrNull(now)?.minus(now)} adapters=${it.adapters}"
             }
         return "instances ${membership.instanceSet.members.keys} keysAgeMs=${keyFreshness.ageOrNull(
             now,
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/GatewayMetrics.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/GatewayMetrics.kt
@@ -20,6 +20,10 @@
     val limitedTargets: Int
     val blockedParts: Int
 
+    /** Number of targets that have said that they leave, and of those that have asked for a pause. */
+    val leavingTargets: Int
+    val pausedTargets: Int
+
     /** Age in milliseconds of the last confirmation that the configuration is current; null when there is none. */
     val configurationAgeMs: Long?
 }
@@ -55,6 +59,12 @@
             .name("skylarkstile_gateway_limited_sends_total")
             .help("Calls sent to targets that had named a limit.")
             .register(registry)
+    private val malformedStatements =
+        Counter
+            .builder()
+            .name("skylarkstile_gateway_malformed_statements_total")
+            .help("Responses in which a target says something of itself that makes no sense.")
+            .register(registry)
     private val lostCalls =
         Counter
             .builder()
@@ -89,6 +99,10 @@
         gauge("skylarkstile_gateway_limited_targets", "Targets that have named a limit of the calls that they accept.") {
             gauges.limitedTargets.toDouble()
         }
+        gauge("skylarkstile_gateway_leaving_targets", "Targets that have said that they leave.") { gauges.leavingTargets.toDouble() }
+        gauge("skylarkstile_gateway_paused_targets", "Targets that want no calls of this instance for a while.") {
+            gauges.pausedTargets.toDouble()
+        }
         gauge("skylarkstile_gateway_blocked_parts", "Shared prompt parts whose calls are refused because targets crashed under them.") {
             gauges.blockedParts.toDouble()
         }
@@ -117,6 +131,9 @@
     /** Records a call sent to a target that had named a limit. */
     fun recordLimitedSend() = limitedSends.inc()
 
+    /** Records a response with a malformed statement of its target. */
+    fun recordMalformedStatement() = malformedStatements.inc()
+
     /** Records a call whose target closed the connection; [hasStarted] is true if the response had started. */
     fun recordLostCall(hasStarted: Boolean) = lostCalls.labelValues("$hasStarted").inc()
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/Call.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/Call.kt
@@ -56,4 +56,10 @@
     val endsWithConnection: Boolean = false,
     /** Limit that the target names for calls of all instances together. */
     val namedLimit: NamedLimit = NamedLimit.None,
+    /** True when the target says that it leaves and wants no further calls. */
+    val isTargetLeaving: Boolean = false,
+    /** Time in milliseconds for which a refusing target wants no calls of this instance, if given. */
+    val pauseMs: Long? = null,
+    /** True when the target says something of itself that makes no sense, which is ignored. */
+    val hasMalformedStatement: Boolean = false,
 )
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -22,6 +22,7 @@
 import io.skylarkstile.gateway.model.Dispatch
 import io.skylarkstile.gateway.model.Repeatability
 import io.skylarkstile.gateway.model.ResponseHead
+import io.skylarkstile.gateway.target.AvailabilityChange
 import io.skylarkstile.gateway.target.CallWeight
 import io.skylarkstile.gateway.target.MAX_LOAD
 import io.skylarkstile.gateway.target.TargetState
@@ -190,7 +191,13 @@
             connection.onIdle(null)
             return if (blockedUntil == null) expire() else giveUp(PART_BLOCKED, blockedUntil - now)
         }
+        // The target may have said something in other responses since it was chosen.
+        if (!started.target.acceptsCalls || started.target.availability.isPaused(now)) {
+            connection.onIdle(null)
+            return retry(started)
+        }
         serving.crashGuard.callSent(call.sharedParts, now)
+        started.target.availability.callSent(now)
         sentAt = now
         started.connection = connection
         started.isSent = true
@@ -239,7 +246,7 @@
         running.target.recordActivity(serving.scheduler.now())
         running.head = head
         running.respondedAt = serving.scheduler.now()
-        serving.permits.responseReceived(running.target, head, running.sentAt)
+        observe(running, head)
         running.target.promptProcessed(running.weight.unreadTokens)
         running.weight = running.weight.copy(unreadTokens = 0)
         val isSuccess = head.status in SUCCESS_STATUSES
@@ -257,6 +264,25 @@
         if (mode == ResponseMode.Forward && !isResponseStarted) begin(response)
     }
 
+    /** Applies what the target says of itself. A misdirected call was answered by another target, which has its address now. */
+    private fun observe(
+        running: Attempt,
+        head: ResponseHead,
+    ) {
+        val now = serving.scheduler.now()
+        val target = running.target
+        if (head.status == MISDIRECTED) return
+        serving.permits.responseReceived(target, head, running.sentAt)
+        if (head.hasMalformedStatement) serving.metrics.recordMalformedStatement()
+        val wasPaused = target.availability.isPaused(now)
+        val change = target.availability.observe(head, now)
+        if (change == AvailabilityChange.None || (change == AvailabilityChange.Paused && wasPaused)) return
+        val event = if (change == AvailabilityChange.Leaving) "target-leaving" else "target-paused"
+        log.event(Level.INFO, event, "target" to target.id, "call" to call.id, "pauseMs" to head.pauseMs) {
+            "target has said that it wants no calls"
+        }
+    }
+
     /** Returns whether [response] can continue the stream that has been forwarded so far. */
     private fun hasSameContentType(response: HttpResponse): Boolean = contentTypeOf(response) == contentType
 
@@ -465,7 +491,7 @@
         if (possibleExecutions >= route.maxAttempts || serving.allowance(service).remaining(now, serving.instanceCount) < 1) return false
         if (lostConnections >= MAX_LOST_CONNECTIONS || serving.crashGuard.isSuspected(call.sharedParts, now)) return false
         val others = serving.targets.ready(service).filter { !search.isExcluded(it) && it !== attempt?.target }
-        return others.any { it.load < MAX_LOAD && !it.isSuspected(now) && !it.callLimit.isBlocked(now) }
+        return others.any { it.load < MAX_LOAD && !it.isSuspected(now) && !it.availability.isBlocked(now) }
     }
 
     private fun retry(running: Attempt) {
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetSearch.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetSearch.kt
@@ -37,6 +37,9 @@
 /** Interval at which a call that waits for any target checks again, in milliseconds. */
 private const val TARGET_RECHECK_MS = 25L
 
+/** Share of the time until a target is free again by which callers return later at most. */
+private const val RETURN_SPREAD = 0.2
+
 /** Retry-After value when all targets are full or gone, in milliseconds. */
 internal const val OVERLOAD_RETRY_AFTER_MS = 300L
 
@@ -123,8 +126,8 @@
         }
         val reachable = serving.reachableTargets(service, call.model)
         if (adapter == null) {
-            val target = serving.selector.chooseOrNull(now, reachable.filter { !it.callLimit.isBlocked(now) }, tried)
-            return if (target == null) waitForAnyTarget(now, limitedUntilOrNull(now, reachable)) else requestPermit(target, null)
+            val target = serving.selector.chooseOrNull(now, reachable.filter { !it.availability.isBlocked(now) }, tried)
+            return if (target == null) waitForAnyTarget(now, blockedUntilOrNull(now, reachable)) else requestPermit(target, null)
         }
         when (val placement = serving.placement.place(now, adapter, reachable, tried)) {
             is Placement.Run -> {
@@ -141,7 +144,7 @@
             }
 
             Placement.NoTarget -> {
-                waitForAnyTarget(now, limitedUntilOrNull(now, reachable))
+                waitForAnyTarget(now, blockedUntilOrNull(now, reachable))
             }
         }
     }
@@ -170,10 +173,11 @@
         adapter: AdapterVersion?,
         usableAt: Long,
     ) {
-        val isUsable = serving.targets[target.id] === target && target.entry.isReady
+        val now = serving.scheduler.now()
+        val isUsable = serving.targets[target.id] === target && target.acceptsCalls && !target.availability.isPaused(now)
         val isLoaded = adapter == null || target.adapters[adapter] == AdapterPhase.Present
         if (isUsable && !isLoaded) return waitForAdapter(target, checkNotNull(adapter))
-        val waitMs = usableAt - serving.scheduler.now()
+        val waitMs = usableAt - now
         if (isUsable && waitMs > 0 && target.isLimited) return waitFor(target.id, waitMs)
         permit = null
         if (isUsable) listener.found(target, adapter) else choose()
@@ -202,27 +206,32 @@
 
     /**
      * Waits until any target has room, for a share of the target latency. After a restart it takes about 0.1 s until the instances know
-     * what the targets have loaded, and a refused caller may retry only once. If limits block all suitable targets until [limitedUntil], the
-     * call is refused at once: the calls that have permits already take longer than it can wait.
+     * what the targets have loaded, and a refused caller may retry only once. If limits or pauses block all suitable targets until
+     * [blockedUntil], the call is refused at once: the calls that have permits already take longer than it can wait.
      */
     private fun waitForAnyTarget(
         now: Long,
-        limitedUntil: Long?,
+        blockedUntil: Long?,
     ) {
-        if (limitedUntil != null) {
-            return listener.notFound("targets-limited", max(limitedUntil - now, OVERLOAD_RETRY_AFTER_MS))
+        if (blockedUntil != null) {
+            val waitMs = max(blockedUntil - now, OVERLOAD_RETRY_AFTER_MS)
+            val isPaused = serving.targets.ready(service).any { it.availability.isPaused(now) }
+            return if (isPaused) listener.notFound("targets-paused", spread(waitMs)) else listener.notFound("targets-limited", waitMs)
         }
         if (now >= waitEndsAt) return listener.notFound("no-target-free", OVERLOAD_RETRY_AFTER_MS)
         waitFor(null, TARGET_RECHECK_MS)
     }
 
-    /** Returns when the first of [reachable] may take a call, if the limits that targets name block all of those that can be tried. */
-    private fun limitedUntilOrNull(
+    /** Returns a random time after [waitMs], so that callers return at different times: a target that was paused begins with one call. */
+    private fun spread(waitMs: Long): Long = (waitMs * (1 + serving.random() * RETURN_SPREAD)).toLong()
+
+    /** Returns when the first of [reachable] may take a call, if limits or pauses block all of those that can be tried. */
+    private fun blockedUntilOrNull(
         now: Long,
         reachable: List<TargetState>,
     ): Long? {
         val usable = reachable.filter { it.id !in tried && it.load < MAX_LOAD }
-        val blockedUntil = usable.map { it.callLimit.blockedUntilOrNull(now) ?: return null }
+        val blockedUntil = usable.map { it.availability.blockedUntilOrNull(now) ?: return null }
         return blockedUntil.minOrNull()
     }
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetState.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetState.kt
@@ -22,7 +22,8 @@
 ) {
     val health = TargetHealth()
     val silence = SilenceDetector()
-    val callLimit = CallLimit()
+    val availability = TargetAvailability()
+    val callLimit: CallLimit get() = availability.callLimit
 
     /** Load from the calls of this instance. */
     var ownWeight = CallWeight.NONE
@@ -49,6 +50,9 @@
     /** True while the target names a limit of the calls that it accepts. */
     val isLimited: Boolean get() = callLimit.callsPerSecond != null
 
+    /** True while new calls may go to the target at some time: its entry says so, and it hasn't said that it leaves. */
+    val acceptsCalls: Boolean get() = entry.isReady && !availability.isLeaving
+
     /** Returns whether calls should go elsewhere because the target seems to be gone. */
     fun isSuspected(now: Long): Boolean = health.isSuspect || silence.isSilent(now)
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetTable.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetTable.kt
@@ -16,7 +16,7 @@
     operator fun get(id: String): TargetState? = targets[id]
 
     /** Returns the targets of [service] that accept new calls. */
-    fun ready(service: String): List<TargetState> = targets.values.filter { it.entry.service == service && it.entry.isReady }
+    fun ready(service: String): List<TargetState> = targets.values.filter { it.entry.service == service && it.acceptsCalls }
 
     /** Adds or updates a target. A restarted target, or one at another address, gets a new state without history. */
     fun put(entry: TargetEntry): TargetState {
