End the calls to a target that is removed soon after an outage of the store in time

What the first answer after the outage lacks has lapsed or gone meanwhile and keeps its 2.2 s. What is removed only after that answer may be gone for good, so calls to it end 0.3 s before the drain bound, by a timer of its own instead of at the next look each 250 ms, and changes are read without a pause in that time. A target that does lapse after the first answer and needs longer to return gets no calls for up to 0.5 s; that is the price.

StoreWatchSpec has the case.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -79,6 +79,9 @@
 private const val AGGREGATOR_WAIT_SHARE = 0.15
 private const val PEER_VIEW_AGE_SHARE = 0.75
 
+/** A target that is removed soon after an outage of the store gets no calls from this long before the drain bound on, in milliseconds. */
+private const val REMOVAL_MARGIN_MS = 300L
+
 /** The same for instance and version records, in milliseconds: shorter than the time for which a confirmation permits orders. */
 private const val RECORD_WAIT_MS = 800L
 private const val RECORD_AGE_MS = 3_000L
@@ -269,7 +272,13 @@
         follow(
             StoreKind.Targets,
             TargetListener(platform.records, targets, ::removeTarget, ::targetsChanged),
-            FleetWatchTiming(exchange, (drainMs * TARGET_PAUSE_SHARE).toLong(), aggregatorWaitMs, urgentAgeMs),
+            FleetWatchTiming(
+                exchange,
+                (drainMs * TARGET_PAUSE_SHARE).toLong(),
+                aggregatorWaitMs,
+                urgentAgeMs,
+                maxOf(0, drainMs - REMOVAL_MARGIN_MS),
+            ),
         ) { platform.records.target(it).get() }
         val recordTiming = FleetWatchTiming(exchange, RECORD_PAUSE_MS, RECORD_WAIT_MS, RECORD_AGE_MS)
         follow(StoreKind.AdapterVersions, VersionListener(platform.records, serving.adapterVersions), recordTiming)
@@ -423,7 +432,7 @@
 
     private fun slowTick(now: Long) {
         slowTickAt = now
-        if (targets.removeExpired(now).isNotEmpty()) lease.refresh(targetIds())
+        removeExpiredTargets()
         serving.instanceCount = exchange.instances()
         views.tick()
         shares.rebalance(now, exchange.demandElsewhere(), FleetStatus(exchange.instances(), exchange.isFleetKnown(now), exchange.isDirect))
@@ -448,7 +457,12 @@
         exchange.changed(target)
     }
 
+    private fun removeExpiredTargets() {
+        if (targets.removeExpired(scheduler.now()).isNotEmpty()) lease.refresh(targetIds())
+    }
+
     private fun targetsChanged() {
+        targets.nextRemovalOrNull()?.let { scheduler.after(maxOf(0, it - scheduler.now()), ::removeExpiredTargets) }
         targets.all.forEach {
             it.memoryCapacityTokens = serving.configuration
                 ?.services
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/FleetWatchTiming.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/FleetWatchTiming.kt
@@ -21,6 +21,7 @@
     private val basePauseMs: Long,
     private val aggregatorWaitMs: Long,
     override val maxPeerViewAgeMs: Long,
+    override val removalGraceMs: Long = 0,
 ) : WatchTiming {
     override val waitMs: Long get() = if (exchange.isAggregator) aggregatorWaitMs else MAX_WAIT_MS
     override val pauseMs: Long get() = if (exchange.isAggregator) minOf(basePauseMs, aggregatorWaitMs / PAUSE_DIVISOR) else basePauseMs
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/StoreWatch.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/StoreWatch.kt
@@ -98,6 +98,9 @@
     private var backoffMs = INITIAL_BACKOFF_MS
     private var failedSince: Long? = null
     private var outageEndedAt: Long? = null
+
+    /** True while the first answer after an outage is applied. */
+    private var isFirstAnswer = false
     private var stopped = false
 
     /** Number of the pending request; answers to earlier requests are ignored. */
@@ -213,6 +216,7 @@
         // A pending watch is about an earlier revision, and its answer would restore old states; it is ignored from now on.
         val wasWatching = !followsPeers
         requestNumber++
+        isFirstAnswer = false
         apply(StorePage(changes.objects, changes.seen), now, changes.returnInMs?.let { now + it } ?: returnByOrNull(now))
         confirm(at, requestedAt, changes.seen)
         if (timing.reliesOnPeers) {
@@ -277,7 +281,8 @@
         apply(page, now, returnByOrNull(now))
         confirm(sentAt, sentAt, page.revision)
         hadChanges = timing.confirmsSoon
-        val pauseMs = timing.pauseMs
+        // Soon after an outage, a removal that is read late would leave too little of its grace.
+        val pauseMs = if (returnByOrNull(now) == null) timing.pauseMs else 0
         if (pauseMs > 0) requestNextAfter(pauseMs) else requestNext()
     }
 
@@ -317,14 +322,21 @@
 
     private fun recovered(now: Long) {
         backoffMs = INITIAL_BACKOFF_MS
+        isFirstAnswer = failedSince != null
         val since = failedSince ?: return
         failedSince = null
         outageEndedAt = now
         log.event(Level.INFO, "store-regained", "kind" to "$kind", "outageMs" to now - since) { "store answers for $kind again" }
     }
 
-    /** Returns the time until which a removal may be caused by the last outage, or null when that time has passed. */
-    private fun returnByOrNull(now: Long): Long? = outageEndedAt?.let { it + REAPPEARANCE_MS }?.takeIf { it > now }
+    /**
+     * Returns the time until which a removal may be caused by the last outage, or null when that time has passed. What is removed only after
+     * the first answer may as well be gone for good.
+     */
+    private fun returnByOrNull(now: Long): Long? {
+        val returnBy = outageEndedAt?.let { it + REAPPEARANCE_MS }?.takeIf { it > now } ?: return null
+        return if (isFirstAnswer) returnBy else minOf(returnBy, now + timing.removalGraceMs)
+    }
 
     private companion object {
         /** Entries that expired during an outage of the store are written again within this time after its end, in milliseconds. */
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/WatchTiming.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/WatchTiming.kt
@@ -11,6 +11,9 @@
     /** Pause after a change, so that further changes are read in the same answer. */
     val pauseMs: Long
 
+    /** Time for which a removal soon after an outage of the store may still be undone, if the first answer after it had the object. */
+    val removalGraceMs: Long
+
     /** True while other instances rely on this view, so that it has to be confirmed soon after a change. */
     val confirmsSoon: Boolean get() = false
 
@@ -25,11 +28,13 @@
 fun fixedWatchTiming(
     waitMs: Long,
     pauseMs: Long,
-): WatchTiming = FixedWatchTiming(waitMs, pauseMs)
+    removalGraceMs: Long,
+): WatchTiming = FixedWatchTiming(waitMs, pauseMs, removalGraceMs)
 
 private class FixedWatchTiming(
     override val waitMs: Long,
     override val pauseMs: Long,
+    override val removalGraceMs: Long,
 ) : WatchTiming {
     override val reliesOnPeers = false
     override val maxPeerViewAgeMs = 0L
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetTable.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetTable.kt
@@ -51,6 +51,9 @@
         targets.keys.filter { it !in listed }.forEach { remove(it, now, reappearUntil) }
     }
 
+    /** Returns the time of the next removal by [removeExpired], or null if there is none. */
+    fun nextRemovalOrNull(): Long? = returnDeadlines.values.minOrNull()
+
     /** Removes the targets that did not return in time, and returns their ids. */
     fun removeExpired(now: Long): List<String> {
         val expired = returnDeadlines.filterValues { it <= now }.keys.toList()
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/store/StoreWatchSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/store/StoreWatchSpec.kt
@@ -104,6 +104,7 @@
     override val pauseMs = 0L
     override val reliesOnPeers = true
     override val maxPeerViewAgeMs = 1_200L
+    override val removalGraceMs = 400L
 }
 
 class StoreWatchSpec :
@@ -111,7 +112,8 @@
         val store = ScriptedStore()
         val scheduler = ManualScheduler()
         val recorder = RecordingListener()
-        val watch = StoreWatch(StoreKind.Targets, store, scheduler, recorder, fixedWatchTiming(waitMs = 2_000, pauseMs = 500))
+        val watch =
+            StoreWatch(StoreKind.Targets, store, scheduler, recorder, fixedWatchTiming(waitMs = 2_000, pauseMs = 500, removalGraceMs = 400))
 
         test("lists, watches from the list's revision, and confirms up to when its view is current") {
             watch.start()
@@ -152,7 +154,11 @@
         test("a removal shortly after an outage gets a time limit that counts from the end of the outage, and a later one gets none") {
             failOnce(store, scheduler)
             val endedAt = scheduler.now()
-            scheduler.advance(2_000)
+            scheduler.advance(300)
+            store.respond(page(30, "d"))
+            // The first answer after the outage still had it, so it may be gone for good.
+            recorder.reappearUntil shouldBe endedAt + 300 + 400
+            scheduler.advance(1_700)
             store.respond(page(31, "d"))
             recorder.reappearUntil shouldBe endedAt + 2_200
             scheduler.advance(500)
