Try a blocked prompt part after a minute first, and check a target again sooner

The first trial call came 20 s after three crashes, and each trial of a part that is still harmful costs a target with all its calls; a sound part that is blocked by chance is mostly released earlier, by calls that were running. A crash within 1 s after an answer that ended with its connection wasn't looked for, since the target had just accepted a connection; the pause is 0.2 s now. Two cases of FleetCrashReportsSpec play a trial that crashes and one that succeeds after a repair.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/crash/CrashDetector.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/crash/CrashDetector.kt
@@ -18,7 +18,7 @@
 internal const val EVIDENCE_WINDOW_MS = 30_000L
 
 /** A target that has accepted a connection isn't checked again for this long, in milliseconds, since each connection has a cost. */
-private const val RECHECK_PAUSE_MS = 1_000L
+private const val RECHECK_PAUSE_MS = 200L
 
 /** Time in milliseconds after the beginning of a response in which the crash of the target accuses the parts of the call. */
 private const val ACCUSING_MS = 1_000L
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/crash/PartRecord.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/crash/PartRecord.kt
@@ -27,7 +27,7 @@
 internal const val REPORT_WAIT_MS = 150L
 
 /** Time until the first trial call, in milliseconds; it doubles with each further crash, since each trial may cost a target. */
-private const val FIRST_BLOCK_MS = 20_000L
+private const val FIRST_BLOCK_MS = 60_000L
 
 /** From this number of crashes on, a trial call is made after [LONGEST_BLOCK_MS] only. */
 private const val LAST_TRIAL_CRASHES = 7
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/peer/FleetCrashReportsSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/peer/FleetCrashReportsSpec.kt
@@ -78,6 +78,7 @@
     private val members = records.map(::Member)
     private val byAddress = members.associateBy { it.record.peers }
     private var targetNumber = 0
+    private var isRepaired = false
     private val refusedSince = HashMap<String, Long>()
     private val refusedAt = HashMap<String, Long>()
     val crashes = ArrayList<Long>()
@@ -127,8 +128,8 @@
             val call = Call(this, parts, now)
             reports.callSent(parts, now)
             target.calls.add(call)
-            if (HARMFUL in parts) {
-                harmfulCalls.add(now)
+            if (HARMFUL in parts) harmfulCalls.add(now)
+            if (HARMFUL in parts && !isRepaired) {
                 scheduler.after(20 + random.nextLong(80)) { crash(target) }
             } else {
                 soundCalls++
@@ -187,11 +188,31 @@
             if (random.nextDouble() < plan.targets * CALLS_PER_TARGET / 1_000) callFrom { "m${popularIndex(MIDDLE_PARTS)}" }
             if (random.nextDouble() < plan.harmfulPerSecond / 1_000) callFrom { HARMFUL }
             if (random.nextDouble() < plan.chanceCrashesPerSecond / 1_000) targets.values.randomOrNull(random)?.let(::crash)
-            if (ms % TICK_MS.toInt() == 0) members.forEach { if (!it.isFrozen) it.reports.tick(scheduler.now()) }
+            if (ms % TICK_MS.toInt() == 0) tick()
             scheduler.advance(1)
         }
     }
 
+    private fun tick() = members.forEach { if (!it.isFrozen) it.reports.tick(scheduler.now()) }
+
+    /** Lets [ms] milliseconds pass without calls. */
+    fun idle(ms: Long) = repeat((ms / TICK_MS).toInt()) {
+        tick()
+        scheduler.advance(TICK_MS)
+    }
+
+    /** Sends one call with the harmful part from each instance, and returns how many weren't refused. */
+    fun tryHarmfulPart(): Int = members.count { member ->
+        val before = harmfulCalls.size
+        member.call(listOf("f0", HARMFUL))
+        harmfulCalls.size > before
+    }
+
+    /** Lets calls with the harmful part succeed, as after a repair of the targets. */
+    fun repair() {
+        isRepaired = true
+    }
+
     private fun callFrom(middle: () -> String) {
         val member = members.filter { !it.isFrozen }.random(random)
         member.call(listOf("f${popularIndex(FIRST_PARTS)}", middle()))
@@ -255,4 +276,34 @@
                 }
             }
         }
+
+        test("after its block, one instance tries a harmful part with one call, and a crash blocks it for longer") {
+            val fleet = CrashFleet(1, CrashPlan(instances = 6, targets = 13, harmfulPerSecond = 0.0))
+            repeat(3) {
+                fleet.tryHarmfulPart()
+                fleet.idle(2_000)
+            }
+            fleet.tryHarmfulPart() shouldBe 0
+            val crashes = fleet.crashes.size
+            fleet.idle(600_000)
+            withClue("calls of all instances at the same time") { fleet.tryHarmfulPart() shouldBe 1 }
+            fleet.idle(2_000)
+            fleet.crashes.size shouldBe crashes + 1
+            fleet.idle(58_000)
+            fleet.tryHarmfulPart() shouldBe 0
+        }
+
+        test("a trial that succeeds lets all instances send calls with the part again") {
+            val fleet = CrashFleet(1, CrashPlan(instances = 6, targets = 13, harmfulPerSecond = 0.0))
+            fleet.tryHarmfulPart()
+            fleet.idle(2_000)
+            fleet.tryHarmfulPart() shouldBe 0
+            fleet.repair()
+            fleet.idle(240_000)
+            fleet.tryHarmfulPart() shouldBe 1
+            fleet.idle(4_000)
+            fleet.tryHarmfulPart() shouldBe 6
+            fleet.idle(4_000)
+            fleet.tryHarmfulPart() shouldBe 6
+        }
     })
