Bound the reports of crashes and the verdicts to what fits into a datagram

A caller chooses how many parts its prompts have and how long their ids are. With 16 crashes of 64 parts each, a report with the successes of these parts could exceed the 60,000 bytes of a datagram, which isn't sent then, and neither were verdicts beyond some hundreds.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/FleetCrashReports.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/FleetCrashReports.kt
@@ -12,6 +12,7 @@
 import io.skylarkstile.gateway.crash.CrashDetector
 import io.skylarkstile.gateway.crash.CrashTally
 import io.skylarkstile.gateway.crash.EVIDENCE_WINDOW_MS
+import io.skylarkstile.gateway.crash.ObservedCrash
 import io.skylarkstile.gateway.crash.REPORT_WAIT_MS
 import io.skylarkstile.gateway.crash.ReachabilityCheck
 import io.skylarkstile.gateway.crash.SuccessHistory
@@ -42,6 +43,10 @@
 private const val SENDS_PER_CHANGE = 3
 private const val RESEND_MS = 150L
 
+/** Maximum numbers of parts in a report and of verdicts in a message, which fit into a datagram. Callers choose how many parts there are. */
+private const val MAX_REPORTED_PARTS = 384
+private const val MAX_VERDICTS = 256
+
 /** Intervals at which suspicions and blocks are announced again, in milliseconds. */
 private const val SUSPICION_INTERVAL_MS = 1_000L
 private const val BLOCK_INTERVAL_MS = 5_000L
@@ -107,7 +112,7 @@
         tally.retain(set.members.keys)
         if (isCounting && !wasCounting) blocked.verdicts(now).forEach { tally.receive(it, now) }
         if (counting.map { it.name } != before && detector.crashes(now).isNotEmpty()) reports.changed()
-        val verdicts = if (isCounting) tally.decide(now, targets.all.size) else emptyList()
+        val verdicts = if (isCounting) decideVerdicts(now) else emptyList()
         if (verdicts.isNotEmpty()) send(GatewayDatagram(self.name, partVerdicts = PartVerdicts(verdicts)), added.map { it.peers })
     }
 
@@ -170,21 +175,30 @@
 
     private fun sendReport() {
         val now = scheduler.now()
-        val crashes = detector.crashes(now)
-        val since = HashMap(blocked.partsInQuestion(now))
+        val crashes = reportedCrashes(now)
+        val since = LinkedHashMap(blocked.partsInQuestion(now))
         crashes.forEach { crash -> crash.parts.forEach { since.merge(it, crash.at, ::minOf) } }
         val report =
             CrashReport(
                 startedAt = self.startedAt,
                 number = ++reportNumber,
                 crashes = crashes.map { TargetCrash(it.target, now - it.at, it.parts.toList()) },
-                successes = since.mapNotNull { (part, at) -> successesOrNull(part, at) },
+                successes = since.mapNotNull { (part, at) -> successesOrNull(part, at) }.take(MAX_REPORTED_PARTS),
                 passedTrials = blocked.passedTrials(now),
             )
         if (isCounting) count(self.name, report, now)
         send(GatewayDatagram(self.name, crashReport = report), counting.filter { it.name != self.name }.map { it.peers })
     }
 
+    /** Returns the latest crashes, as far as their parts fit into one report. */
+    private fun reportedCrashes(now: Long): List<ObservedCrash> {
+        var parts = 0
+        return detector.crashes(now).sortedByDescending { it.at }.takeWhile { crash ->
+            parts += crash.parts.size
+            parts <= MAX_REPORTED_PARTS
+        }
+    }
+
     private fun successesOrNull(
         part: String,
         since: Long,
@@ -211,7 +225,7 @@
 
     private fun decide() {
         val now = scheduler.now()
-        val verdicts = tally.decide(now, targets.all.size)
+        val verdicts = decideVerdicts(now)
         val decided = verdicts.associate { it.part to (it.state to it.crashes) }
         if (decided == announced) return
         announced = decided
@@ -219,10 +233,17 @@
         announcements.changed()
     }
 
+    /** Returns what is to be announced, blocked parts first. */
+    private fun decideVerdicts(now: Long): List<PartVerdict> {
+        val verdicts = tally.decide(now, targets.all.size)
+        if (verdicts.size <= MAX_VERDICTS) return verdicts
+        return verdicts.sortedWith(compareBy({ it.state != PartVerdict.State.Blocked }, { -it.crashes })).take(MAX_VERDICTS)
+    }
+
     private fun announce() {
         val now = scheduler.now()
         announcedAt = now
-        val verdicts = tally.decide(now, targets.all.size)
+        val verdicts = decideVerdicts(now)
         if (verdicts.isEmpty()) return
         val others = instanceSet.members.values.filter { it.name != self.name }
         send(GatewayDatagram(self.name, partVerdicts = PartVerdicts(verdicts)), others.map { it.peers })
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/peer/FleetCrashReportsSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/peer/FleetCrashReportsSpec.kt
@@ -306,4 +306,26 @@
             fleet.idle(4_000)
             fleet.tryHarmfulPart() shouldBe 6
         }
+
+        test("reports and verdicts fit into datagrams whatever parts callers send") {
+            val random = Random(1)
+            val scheduler = ManualScheduler()
+            val table = TargetTable()
+            val address = InetSocketAddress("10.0.0.1", 7_600)
+            val records = List(2) { InstanceRecord("i-$it", "dc-1", address, address, 1, emptySet()) }
+            val sizes = ArrayList<Int>()
+            val codec = DatagramCodec()
+            val unreachable = { _: InetSocketAddress, done: (Boolean) -> Unit -> done(false) }
+            val reports =
+                FleetCrashReports(records[0], scheduler, table, unreachable, { datagram, _ -> sizes.add(codec.encode(datagram).size) })
+            reports.apply(InstanceSet(records.associateBy { it.name }))
+            val parts = List(2_000) { List(32) { random.nextInt(16).toString(16) }.joinToString("") }
+            repeat(100) { number ->
+                val target = table.put(entry("t-$number"))
+                repeat(4) { reports.callLost(target, parts.shuffled(random).take(32), null, scheduler.now()) }
+                reports.tick(scheduler.now())
+                scheduler.advance(300)
+            }
+            withClue("datagrams ${sizes.size}") { sizes.max() shouldBeLessThanOrEqualTo 60_000 }
+        }
     })
