Separate the relaying of responses from the run of a call

InstanceSpec, BrokenStreamSpec, EndlessBytesSpec, RepeatedRefusalSpec, PlannedStopSpec, TargetSearchSpec and TargetStatementSpec pass.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -7,20 +7,13 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.github.oshai.kotlinlogging.Level
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.ByteBufUtil
-import io.netty.buffer.Unpooled
-import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpHeaders
-import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
 import io.skylarkstile.config.log.event
 import io.skylarkstile.gateway.admission.Admission
-import io.skylarkstile.gateway.http.forwardedHeaders
 import io.skylarkstile.gateway.main.Timer
 import io.skylarkstile.gateway.model.AdapterVersion
 import io.skylarkstile.gateway.model.CallHead
 import io.skylarkstile.gateway.model.Dispatch
-import io.skylarkstile.gateway.model.Repeatability
 import io.skylarkstile.gateway.model.ResponseHead
 import io.skylarkstile.gateway.target.AvailabilityChange
 import io.skylarkstile.gateway.target.CallWeight
@@ -37,12 +30,6 @@
 /** Time before the deadline at which the gateway's own refusal is sent, so that it reaches the caller in time, in milliseconds. */
 private const val DEADLINE_MARGIN_MS = 15L
 
-/** Size in bytes up to which a response is buffered before it is forwarded, so that the call can be retried if the connection breaks. */
-private const val MAX_BUFFERED_BYTES = 65_536
-
-/** Maximum number of bytes read of a response that is discarded. */
-private const val MAX_DISCARDED_BYTES = 65_536
-
 /** Maximum number of targets that a call is sent to, counting those that did not execute it. */
 private const val MAX_SENDS = 4
 
@@ -65,29 +52,19 @@
     private val service: String,
     private val arrivedAt: Long,
 ) : ResponseListener {
-    private enum class ResponseMode { Undecided, Buffer, Forward, Discard }
-
     private val route = admitted.route
     private val deadlineAt = arrivedAt + min(call.deadlineMs ?: Long.MAX_VALUE, route.timeoutMs)
     private val weight =
         CallWeight(1, if (call.hasTokens) call.promptTokens + call.outputTokens else 0, if (call.hasTokens) call.promptTokens else 0)
-    private val events = if (route.repeatability == Repeatability.ResumableStream) EventSplitter() else null
-    private var boundary: EventBoundary? = null
-    private val isInsideEvent: Boolean get() = boundary?.isInsideEvent ?: (events != null && events.bufferedBytes > 0)
+    private val relay = ResponseRelay(caller, call, route) { responseStartedAt = serving.scheduler.now() }
     private var sends = 0
     private var possibleExecutions = 0
-    private var mode = ResponseMode.Undecided
-    private var isResponseStarted = false
     private var responseStartedAt: Long? = null
     private var sentAt: Long? = null
     private var isEnded = false
     private var mayHaveExecuted = false
     private var attempt: Attempt? = null
-    private var bufferedBody: ByteBuf? = null
-    private var contentType: String? = null
-    private var discarded = 0
     private var lostConnections = 0
-    private var targetResponse: HttpResponse? = null
     private var responseTimer: Timer? = null
     private val deadlineTimer = serving.scheduler.after(max(0, deadlineAt - DEADLINE_MARGIN_MS - arrivedAt)) { expire() }
 
@@ -152,7 +129,7 @@
 
     /** Pauses or resumes reading the response, depending on whether the caller's connection accepts data. */
     fun callerWritable(isWritable: Boolean) {
-        if (mode == ResponseMode.Forward) attempt?.connection?.setReading(isWritable)
+        if (relay.isForwarding) attempt?.connection?.setReading(isWritable)
     }
 
     private fun send(
@@ -206,7 +183,7 @@
         sends++
         possibleExecutions++
         mayHaveExecuted = true
-        mode = ResponseMode.Undecided
+        relay.reset()
         val hasEngine =
             serving.configuration
                 ?.services
@@ -219,7 +196,7 @@
                 remainingMs = remaining,
                 priority = (admitted.workspace?.priority ?: route.priority).takeIf { hasEngine },
                 adapterVersion = started.adapter?.version?.takeIf { call.adapter in serving.adapterVersions },
-                lastEventId = events?.lastId ?: call.lastEventId,
+                lastEventId = relay.lastEventId ?: call.lastEventId,
             )
         connection.send(call.id, call.method, call.uri, serving.codec.targetHeaders(call, dispatch), body.retainedDuplicate(), this)
         watchForResponse(started)
@@ -249,19 +226,7 @@
         observe(running, head)
         running.target.promptProcessed(running.weight.unreadTokens)
         running.weight = running.weight.copy(unreadTokens = 0)
-        val isSuccess = head.status in SUCCESS_STATUSES
-        mode =
-            when {
-                head.isNotExecuted || isUnusable(head) -> ResponseMode.Discard
-                isResponseStarted && (!isSuccess || !hasSameContentType(response)) -> ResponseMode.Discard
-                isResponseStarted -> ResponseMode.Forward
-                route.isStream && isSuccess -> ResponseMode.Forward
-                else -> ResponseMode.Buffer
-            }
-        targetResponse = response
-        discarded = 0
-        if (mode == ResponseMode.Buffer) bufferedBody = Unpooled.buffer()
-        if (mode == ResponseMode.Forward && !isResponseStarted) begin(response)
+        relay.start(head, response)
     }
 
     /** Applies what the target says of itself. A misdirected call was answered by another target, which has its address now. */
@@ -283,89 +248,22 @@
         }
     }
 
-    /** Returns whether [response] can continue the stream that has been forwarded so far. */
-    private fun hasSameContentType(response: HttpResponse): Boolean = contentTypeOf(response) == contentType
-
-    private fun contentTypeOf(response: HttpResponse): String? = response
-        .headers()
-        .get(HttpHeaderNames.CONTENT_TYPE)
-        ?.substringBefore(';')
-        ?.trim()
-        ?.lowercase()
-
-    /**
-     * Returns whether the response can't come from a target: it has a content encoding, or it isn't signed although it is successful or has a
-     * status that promises the caller that the call wasn't run.
-     */
-    private fun isUnusable(head: ResponseHead): Boolean =
-        head.hasContentEncoding || (!head.isSigned && (head.status in SUCCESS_STATUSES || head.status in PROMISING_STATUSES))
-
-    private fun begin(response: HttpResponse) {
-        isResponseStarted = true
-        responseStartedAt = serving.scheduler.now()
-        contentType = contentTypeOf(response)
-        val isEventStream = contentType == EVENT_STREAM || (contentType == null && attempt?.head?.endsWithConnection == true)
-        if (route.repeatability == Repeatability.OnceStream && isEventStream) boundary = EventBoundary()
-        // The length of one target's stream is not valid when another target may continue it.
-        val length =
-            response
-                .headers()
-                .get(HttpHeaderNames.CONTENT_LENGTH)
-                ?.toLongOrNull()
-                ?.takeIf { events == null }
-        caller.begin(response.status().code(), response.status().reasonPhrase(), forwardedResponseHeaders(response), length)
-    }
-
-    private fun forwardedResponseHeaders(response: HttpResponse): HttpHeaders =
-        forwardedHeaders(response.headers(), setOf("content-length"))
-
     override fun content(data: ByteBuf) {
-        attempt?.let { it.target.recordActivity(serving.scheduler.now()) }
-        when (mode) {
-            ResponseMode.Buffer -> bufferBody(data)
-            ResponseMode.Forward -> forward(data)
-            ResponseMode.Discard -> discard(data)
-            ResponseMode.Undecided -> Unit
+        val running = attempt ?: return
+        running.target.recordActivity(serving.scheduler.now())
+        when (relay.add(data)) {
+            BodyState.Continues -> if (relay.isForwarding && !caller.isWritable) running.connection?.setReading(false)
+            BodyState.DiscardedEnough -> complete()
+            BodyState.EventTooLarge -> failOversizedEvent(running)
         }
     }
 
-    /** Counts the bytes of a discarded response and treats it as complete beyond the limit, since it may never end. */
-    private fun discard(data: ByteBuf) {
-        discarded += data.readableBytes()
-        if (discarded > MAX_DISCARDED_BYTES) complete()
-    }
-
-    private fun failOversizedEvent() {
-        val running = attempt ?: return
+    private fun failOversizedEvent(running: Attempt) {
         running.target.health.recordFailure(serving.scheduler.now())
         failed(running, "event too large")
     }
 
-    private fun bufferBody(data: ByteBuf) {
-        val whole = bufferedBody ?: return
-        whole.writeBytes(data)
-        if (whole.readableBytes() <= MAX_BUFFERED_BYTES) return
-        mode = ResponseMode.Forward
-        targetResponse?.let(::begin)
-        caller.writeBody(whole)
-        bufferedBody = null
-    }
-
-    private fun forward(data: ByteBuf) {
-        if (events == null) {
-            boundary?.add(data)
-            caller.writeBody(data)
-        } else {
-            val whole = events.add(ByteBufUtil.getBytes(data))
-            if (whole.isNotEmpty()) caller.writeBody(Unpooled.wrappedBuffer(whole))
-            if (events.isOversized) return failOversizedEvent()
-        }
-        if (!caller.isWritable) attempt?.connection?.setReading(false)
-    }
-
-    override fun flush() {
-        if (mode == ResponseMode.Forward) caller.flush()
-    }
+    override fun flush() = relay.flush()
 
     override fun complete() {
         val running = attempt ?: return
@@ -373,8 +271,8 @@
         val now = serving.scheduler.now()
         when {
             head.isNotExecuted -> retryUnexecuted(running, head)
-            mode == ResponseMode.Discard -> failed(running, "unusable response")
-            mode == ResponseMode.Forward -> finishForwarding(running, now)
+            relay.isDiscarding -> failed(running, "unusable response")
+            relay.isForwarding -> finishForwarding(running, now)
             head.status >= SERVER_ERROR && route.isRepeatable && canRetry() -> failed(running, "status ${head.status}")
             else -> sendBuffered(running, head, now)
         }
@@ -384,11 +282,11 @@
         running: Attempt,
         now: Long,
     ) {
-        if (isInsideEvent) return connectionLost(running, "stream ended inside an event")
+        if (relay.isInsideEvent) return connectionLost(running, "stream ended inside an event")
         running.target.health.recordResponse(now)
         release(running)
         recordServed(running, now)
-        caller.end()
+        relay.endForwarding()
         finish("served")
     }
 
@@ -400,19 +298,7 @@
         if (head.status >= SERVER_ERROR) running.target.health.recordFailure(now) else running.target.health.recordResponse(now)
         release(running)
         recordServed(running, now)
-        val response = targetResponse ?: return
-        val whole = bufferedBody ?: Unpooled.EMPTY_BUFFER
-        val length =
-            if (call.method ==
-                HttpMethod.HEAD
-            ) {
-                response.headers().get(HttpHeaderNames.CONTENT_LENGTH)?.toLongOrNull()
-            } else {
-                whole.readableBytes().toLong()
-            }
-        caller.begin(head.status, response.status().reasonPhrase(), forwardedResponseHeaders(response), length)
-        if (whole.isReadable) caller.writeBody(whole)
-        caller.end()
+        relay.sendBuffered()
         finish("status-${head.status}")
     }
 
@@ -482,7 +368,7 @@
         ) { "call failed on its target" }
         if (route.isRepeatable && canRetry()) return retry(running)
         endAttempt()
-        if (isResponseStarted) abortResponse(reason) else refuse(BAD_GATEWAY, "target-failed", null)
+        if (relay.hasBegun) abortResponse(reason) else refuse(BAD_GATEWAY, "target-failed", null)
     }
 
     /** Returns whether the call may be executed once more and another target has room for it. */
@@ -497,9 +383,7 @@
     private fun retry(running: Attempt) {
         search.exclude(running.target)
         endAttempt()
-        events?.dropIncompleteEvent()
-        bufferedBody = null
-        mode = ResponseMode.Undecided
+        relay.reset()
         search.choose()
     }
 
@@ -530,7 +414,7 @@
     ) {
         endAttempt()
         when {
-            isResponseStarted -> abortResponse(reason)
+            relay.hasBegun -> abortResponse(reason)
             mayHaveExecuted -> refuse(GATEWAY_TIMEOUT, reason, null)
             else -> refuse(UNAVAILABLE, reason, retryAfterMs)
         }
@@ -575,11 +459,8 @@
     }
 
     private companion object {
-        const val EVENT_STREAM = "text/event-stream"
         const val PART_BLOCKED = "prompt-part-blocked"
         const val MIN_RESPONSE_TIMEOUT_MS = 250L
-        val SUCCESS_STATUSES = 200..299
-        val PROMISING_STATUSES = setOf(408, 421, 429, 503)
         const val SERVER_ERROR = 500
         const val MISDIRECTED = 421
         const val BAD_GATEWAY = 502
