--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetAvailability.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetAvailability.kt
@@ -66,7 +66,8 @@
     fun blockedUntilOrNull(now: Long): Long? = maxOf(pausedUntil, callLimit.blockedUntilOrNull(now) ?: NEVER).takeIf { now < it }
 
     /** Returns whether no call may be sent now; soon after a pause, only until the first call is answered. */
-    fun isBlocked(now: Long): Boolean = isLeaving || blockedUntilOrNull(now) != null || (isResuming && now < firstCallAt + FIRST_CALL_MS)
+    fun isBlocked(now: Long): Boolean =
+        isLeaving || now < pausedUntil || callLimit.isBlocked(now) || (isResuming && now < firstCallAt + FIRST_CALL_MS)
 
     private companion object {
         /** Far enough in the past, without an overflow when times are added. */
