--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/FleetCrashReports.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/FleetCrashReports.kt
@@ -266,14 +266,23 @@
         verdict: PartVerdict,
         sender: String,
     ) {
-        val isBlocked = verdict.state == PartVerdict.State.Blocked
-        log.event(
-            Level.WARN,
-            if (isBlocked) "part-blocked" else "part-released",
-            "sharedPart" to verdict.part,
-            "crashes" to verdict.crashes,
-            "blockedMs" to verdict.blockedMs,
-            "instance" to sender,
-        ) { if (isBlocked) "calls with a prompt part that crashes targets are refused" else "calls with a prompt part are sent again" }
+        if (verdict.state == PartVerdict.State.Blocked) {
+            log.event(
+                Level.WARN,
+                "part-blocked",
+                "sharedPart" to verdict.part,
+                "crashes" to verdict.crashes,
+                "blockedMs" to verdict.blockedMs,
+                "instance" to sender,
+            ) { "calls with a prompt part that crashes targets are refused" }
+        } else {
+            log.event(
+                Level.WARN,
+                "part-released",
+                "sharedPart" to verdict.part,
+                "crashes" to verdict.crashes,
+                "instance" to sender,
+            ) { "calls with a prompt part are sent again" }
+        }
     }
 }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -241,10 +241,12 @@
         if (head.hasMalformedStatement) serving.metrics.recordMalformedStatement()
         val wasPaused = target.availability.isPaused(now)
         val change = target.availability.observe(head, now)
-        if (change == AvailabilityChange.None || (change == AvailabilityChange.Paused && wasPaused)) return
-        val event = if (change == AvailabilityChange.Leaving) "target-leaving" else "target-paused"
-        log.event(Level.INFO, event, "target" to target.id, "call" to call.id, "pauseMs" to head.pauseMs) {
-            "target has said that it wants no calls"
+        if (change == AvailabilityChange.Leaving) {
+            log.event(Level.INFO, "target-leaving", "target" to target.id, "call" to call.id) { "target has said that it leaves" }
+        } else if (change == AvailabilityChange.Paused && !wasPaused) {
+            log.event(Level.INFO, "target-paused", "target" to target.id, "call" to call.id, "pauseMs" to head.pauseMs) {
+                "target wants no calls for a while"
+            }
         }
     }
 
@@ -356,13 +358,14 @@
         running: Attempt,
         reason: String,
     ) {
+        val respondedMs = running.respondedAt?.let { serving.scheduler.now() - it }
         log.event(
             Level.INFO,
             "call-failed-at-target",
             "call" to call.id,
             "target" to running.target.id,
             "arrivals" to sends,
-            "respondedMs" to running.respondedAt?.let { serving.scheduler.now() - it },
+            "respondedMs" to respondedMs,
             "sharedParts" to call.sharedParts.joinToString(","),
             "reason" to reason,
         ) { "call failed on its target" }
