--- a/review/harness/Case.java
+++ b/review/harness/Case.java
@@ -199,6 +199,9 @@
         byte[] body;
         String failure;
 
+        /** What is left of the connection after the answer. */
+        InputStream rest;
+
         int status() {
             return head == null ? 0 : head.status();
         }
@@ -220,6 +223,7 @@
             out.write(body);
             out.flush();
             BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
+            outcome.rest = in;
             outcome.head = Http.head(in);
             if (outcome.head == null) outcome.failure = "connection closed without an answer";
             else outcome.body = Http.body(in, outcome.head);
