--- a/review/build.sh
+++ b/review/build.sh
@@ -5,7 +5,7 @@
 rm -rf target/review
 mkdir -p target/review
 sources=(review/harness/*.java)
-for folder in review/[1-5]; do
+for folder in review/[1-5] review/left-out; do
     for source in "$folder"/*.java; do
         [ -e "$source" ] && sources+=("$source")
     done
