Take the end of a connection for the end of a response only after the whole request was sent

Cause: a response without a length ends with its connection, and the decoder reports that end in the same way after a reset. Only a failed read counted as a broken connection. Two ways lead past that, told apart by a trial with a line in TargetConnection.finish: - A reset that meets the sending of the request fails the write ("Connection reset by peer"); Netty closes the channel and no handler gets an exception. The channel was closed with the request still unsent (StacklessClosedChannelException), and that counted as a clean end. A reset after the whole request was sent is reported as a failed read and was handled (shown by the same trial and two tests).

Fix: ResponseEndHandler passes the end of such a response on when the write of the whole request has succeeded, and drops it if it fails, so that the connection's end is a lost response. Connections to targets may be half closed, so a target that ends its response before it has read the request still has it delivered. The control client, which calls the store, targets and other instances, had the same fault and has the same handler. The log line of the failed call says when the request was not sent and why.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/http/ControlClient.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/http/ControlClient.kt
@@ -105,7 +105,12 @@
                 .handler(
                     object : ChannelInitializer<Channel>() {
                         override fun initChannel(channel: Channel) {
-                            channel.pipeline().addLast(HttpClientCodec(), HttpObjectAggregator(maxResponseBytes), ResponseHandler())
+                            channel.pipeline().addLast(
+                                HttpClientCodec(),
+                                ResponseEndHandler(),
+                                HttpObjectAggregator(maxResponseBytes),
+                                ResponseHandler(),
+                            )
                         }
                     },
                 )
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetConnection.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetConnection.kt
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpRequest
 import io.netty.handler.codec.http.DefaultLastHttpContent
@@ -167,12 +168,15 @@
     private fun finish(currentListener: ResponseListener) {
         listener = null
         // After a response that arrives before the whole request is sent, the rest of the request would still follow.
-        if (requestWritten?.isDone != true) isClosing = true
+        if (requestWritten?.isSuccess != true || hasEnded()) isClosing = true
         val keepAliveMs = responseHead?.keepAliveMs
         currentListener.complete()
         if (isClosing) channel.close() else onIdle(keepAliveMs)
     }
 
+    /** Returns whether the target has ended the stream in its direction, so that no further response can come. */
+    private fun hasEnded(): Boolean = (channel as? DuplexChannel)?.isInputShutdown == true
+
     override fun channelReadComplete(ctx: ChannelHandlerContext) {
         listener?.flush()
     }
@@ -181,7 +185,12 @@
         isClosing = true
         val currentListener = listener ?: return
         listener = null
-        currentListener.disconnected(failure ?: "connection closed by the target")
+        currentListener.disconnected(failure ?: closedReason())
+    }
+
+    private fun closedReason(): String {
+        val sendFailure = requestWritten?.cause() ?: return "connection closed by the target"
+        return "connection closed by the target before it had the whole request: ${sendFailure.message}"
     }
 
     override fun exceptionCaught(
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetConnectionPool.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetConnectionPool.kt
@@ -11,6 +11,7 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpRequestEncoder
+import io.skylarkstile.gateway.http.ResponseEndHandler
 import io.skylarkstile.gateway.main.Scheduler
 import java.net.InetSocketAddress
 
@@ -105,7 +106,7 @@
         val initializer =
             object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
-                    channel.pipeline().addLast(HttpRequestEncoder(), decoder, connection)
+                    channel.pipeline().addLast(HttpRequestEncoder(), decoder, ResponseEndHandler(), connection)
                 }
             }
         val bootstrap =
@@ -114,6 +115,8 @@
                 .channel(NioSocketChannel::class.java)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .option(ChannelOption.TCP_NODELAY, true)
+                // A target may end its response and the stream in its direction before it has read the whole request.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(initializer)
         bootstrap.connect(address).addListener { future ->
             if (!future.isSuccess) {
