Report a response without a length as broken if its connection was reset

Callers of the entry process, and its tools, saw half of a target's body as a whole one: the client closed the channel after a failed read, the decoder then reported the end of the body, and that completed the call. The same for a reset that meets the sending of the request.

The end of a connection now ends such a response only if no read failed and the request was sent. A connection whose request isn't sent isn't reused.

--- a/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/ClientConnection.kt
+++ b/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/ClientConnection.kt
@@ -5,6 +5,7 @@
 
 import io.netty.buffer.ByteBufUtil
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.FullHttpRequest
@@ -24,6 +25,11 @@
     @Volatile
     private var call: ClientCall? = null
     private var keepAlive = false
+    private var requestSent: ChannelFuture? = null
+    private var endsWithConnection = false
+
+    /** True after a failed read: the decoder reports the end of a response without a length even then. */
+    private var isBroken = false
 
     /** Sends [message] unless [beforeSend] returns `false`; returns whether it was sent. Check and write are one task on the event loop. */
     suspend fun send(
@@ -39,7 +45,7 @@
                 sent.complete(true)
             } else if (beforeSend()) {
                 call = newCall
-                channel.writeAndFlush(message).addListener { if (!it.isSuccess) channel.close() }
+                requestSent = channel.writeAndFlush(message).addListener { if (!it.isSuccess) channel.close() }
                 sent.complete(true)
             } else {
                 message.release()
@@ -89,6 +95,7 @@
         ctx: ChannelHandlerContext,
         cause: Throwable,
     ) {
+        isBroken = true
         ctx.close()
     }
 
@@ -109,6 +116,7 @@
     ) {
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) return
         keepAlive = HttpUtil.isKeepAlive(response)
+        endsWithConnection = !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response)
         val length = if (HttpUtil.isContentLengthSet(response)) HttpUtil.getContentLength(response) else null
         current.head.complete(
             ResponseHead.Received(response.status().code(), HttpHeaders(response.headers().map { it.key to it.value }), length),
@@ -129,8 +137,11 @@
 
     private fun completeCall(current: ClientCall) {
         if (!current.head.isCompleted) return
+        val isSent = requestSent?.isSuccess == true
+        // A reset that meets the sending of the request isn't reported as a failed read.
+        if (endsWithConnection && !channel.isActive && (isBroken || !isSent)) return
         call = null
-        current.reusable = keepAlive
+        current.reusable = keepAlive && isSent
         current.complete = true
         current.bodyParts.close()
     }
