Refuse calls that come too late in a planned stop to be answered in it

Cause: new calls were taken for 2.7 s, whatever the grace. In a grace of 8 s, as on the deployments in force, a call that comes last still has 4.5 s; in a short grace it hasn't. Ruled out: calls that are taken after the refusing has begun (the test of 12 callers with pipelined calls passes; from reading, a request whose body ends later is refused, too).

Fix: callers get at most 34% of the grace to move (2.7 s of 8 s as before), then new calls are refused with 503 and a short Retry-After. A call that waits for a target, or looks for another one, isn't sent any more when less time than its route's target latency is left; it is refused as not run if no target may have run it.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -318,9 +318,13 @@
         return ready.ifEmpty { present }.shuffled(random).map(::formatAddress)
     }
 
-    /** Announces to callers and peers that this instance is leaving. New calls are still served while callers move to other instances. */
-    fun beginDrain() {
+    /**
+     * Announces to callers and peers that this instance is leaving and ends its calls at [callsEndAt]. New calls are still served while
+     * callers move to other instances.
+     */
+    fun beginDrain(callsEndAt: Long) {
         serving.isLeaving = true
+        serving.callsEndAt = callsEndAt
         exchange.tick()
         exchange.changed()
         log.event(Level.INFO, "leaving", "calls" to serving.runningCalls) { "leaving" }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/GracefulStop.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/GracefulStop.kt
@@ -10,6 +10,9 @@
 /** Time that callers need to get other addresses, in milliseconds; then idle connections are closed and new calls refused. */
 private const val CALLER_MOVE_MS = 2_700L
 
+/** Largest part of the grace that callers get to move, since the calls that come last need the rest to finish. */
+private const val CALLER_MOVE_SHARE = 0.34
+
 /** Time for the last responses to be sent, in milliseconds. */
 private const val FLUSH_MS = 250L
 
@@ -28,15 +31,17 @@
     execute: (() -> Unit) -> Unit,
 ) {
     val stopped = CountDownLatch(1)
+    val moveMs = minOf(CALLER_MOVE_MS, (graceMs * CALLER_MOVE_SHARE).toLong())
+    val callsEndMs = graceMs - EXIT_MS - FLUSH_MS
     execute {
         val leftAt = scheduler.now()
-        gateway.beginDrain()
+        gateway.beginDrain(leftAt + callsEndMs)
 
         fun poll() {
             val elapsed = scheduler.now() - leftAt
-            if (elapsed >= CALLER_MOVE_MS) gateway.refuseCalls()
-            val isIdle = elapsed >= CALLER_MOVE_MS && gateway.closeIdleConnections()
-            if (isIdle || elapsed >= graceMs - EXIT_MS - FLUSH_MS) {
+            if (elapsed >= moveMs) gateway.refuseCalls()
+            val isIdle = elapsed >= moveMs && gateway.closeIdleConnections()
+            if (isIdle || elapsed >= callsEndMs) {
                 gateway.stopListening()
                 gateway.stopCalls()
                 scheduler.after(FLUSH_MS) { stopped.countDown() }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -118,7 +118,7 @@
 
     /** Ends the call because this instance stops; it is refused if no target can have executed it. */
     fun stop() {
-        if (!isEnded) giveUp("instance-stops", SHUTDOWN_RETRY_AFTER_MS)
+        if (!isEnded) giveUp(INSTANCE_STOPS, SHUTDOWN_RETRY_AFTER_MS)
     }
 
     /** Retries a repeatable call on another target, because [target] doesn't respond. */
@@ -137,6 +137,7 @@
         adapter: AdapterVersion?,
     ) {
         val now = serving.scheduler.now()
+        if (isTooLateToSend(now)) return giveUp(INSTANCE_STOPS, SHUTDOWN_RETRY_AFTER_MS)
         if (sends > 0 && (sends >= MAX_SENDS || !serving.allowance(service).tryRetry(now, serving.instanceCount))) {
             return giveUp("retry-allowance-used", OVERLOAD_RETRY_AFTER_MS)
         }
@@ -149,6 +150,9 @@
         serving.pool.acquire(target.entry.address) { connection -> connected(started, connection) }
     }
 
+    /** Returns whether this instance stops before a target can be expected to respond; a call that isn't sent can be refused as not run. */
+    private fun isTooLateToSend(now: Long): Boolean = serving.callsEndAt?.let { now + route.targetLatencyMs > it } == true
+
     private fun connected(
         started: Attempt,
         connection: TargetConnection?,
@@ -462,6 +466,7 @@
     }
 
     private companion object {
+        const val INSTANCE_STOPS = "instance-stops"
         const val PART_BLOCKED = "prompt-part-blocked"
         const val MIN_RESPONSE_TIMEOUT_MS = 250L
         const val SERVER_ERROR = 500
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/RelayContext.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/RelayContext.kt
@@ -61,6 +61,9 @@
     var instanceCount = 1
     var isLeaving = false
 
+    /** Time at which a shutdown ends all running calls; null while the instance isn't leaving. */
+    var callsEndAt: Long? = null
+
     /** Set late in a shutdown, when a new call could no longer finish in time. */
     var isRefusingCalls = false
     private val running = LinkedHashSet<CallRun>()
