Show that a response whose head breaks off is no success

Reason, from reading: the decoder marks such a head as failed, and TargetConnection checks that first.

--- a/skylarkstile-transport/src/test/kotlin/io/skylarkstile/transport/http/HttpClientSpec.kt
+++ b/skylarkstile-transport/src/test/kotlin/io/skylarkstile/transport/http/HttpClientSpec.kt
@@ -7,6 +7,7 @@
 import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
 import kotlinx.coroutines.flow.toList
 import java.net.InetAddress
 import java.net.InetSocketAddress
@@ -75,6 +76,18 @@
             }
         }
 
+        test("a response whose head breaks off isn't a response") {
+            val failed =
+                shouldThrow<IllegalStateException> {
+                    bodyOf(10) { socket ->
+                        Thread.sleep(ARRIVAL_MS)
+                        socket.skip(10)
+                        socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n")
+                    }
+                }
+            failed.message.orEmpty() shouldContain "NoAnswer"
+        }
+
         test("a response without a length that ends with its connection after the whole request is complete") {
             bodyOf(LONG_BODY) { socket ->
                 socket.skip(LONG_BODY)
