Send a call whose response has begun to another target only if its stream can be resumed

Cause: a call was sent again if its route allows repetition, without regard to what had gone to the caller. ResponseRelay now says whether another response can take its place or continue it: nothing has been forwarded, or the route's stream is resumable and no event with data has followed the last event id.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -378,8 +378,9 @@
         if (relay.hasBegun) abortResponse(reason) else refuse(BAD_GATEWAY, "target-failed", null)
     }
 
-    /** Returns whether the call may be executed once more and another target has room for it. */
+    /** Returns whether the call may be executed once more, its caller can use another response, and another target has room for it. */
     private fun canRetry(): Boolean {
+        if (!relay.canBeReplaced) return false
         val now = serving.scheduler.now()
         if (possibleExecutions >= route.maxAttempts || serving.allowance(service).remaining(now, serving.instanceCount) < 1) return false
         if (lostConnections >= MAX_LOST_CONNECTIONS || serving.crashGuard.isSuspected(call.sharedParts, now)) return false
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/EventSplitter.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/EventSplitter.kt
@@ -9,6 +9,7 @@
 private const val LF = '\n'.code.toByte()
 private const val CR = '\r'.code.toByte()
 private val idField = "id:".encodeToByteArray()
+private val dataField = "data".encodeToByteArray()
 
 /** Maximum size of an event in bytes. An event is buffered until it is complete, and a faulty target may send data without end. */
 const val MAX_EVENT_BYTES = 256 * 1024
@@ -18,11 +19,16 @@
     private val pending = ByteArrayOutputStream()
     private val line = ByteArrayOutputStream()
     private var eventId: String? = null
+    private var hasData = false
 
     /** Id of the last complete event that had one. */
     var lastId: String? = null
         private set
 
+    /** True while [lastId] says where the stream can be resumed: no event with data has followed that one. */
+    var isResumable = true
+        private set
+
     /** Size of the incomplete event in bytes. */
     val bufferedBytes: Int get() = pending.size()
 
@@ -48,22 +54,33 @@
         pending.reset()
         line.reset()
         eventId = null
+        hasData = false
     }
 
     private fun finishLine(complete: ByteArrayOutputStream) {
         if (line.size() > 0) {
-            eventIdOrNull(line.toByteArray())?.let { eventId = it }
+            val field = line.toByteArray()
+            eventIdOrNull(field)?.let { eventId = it }
+            if (field.startsWith(dataField)) hasData = true
             line.reset()
             return
         }
         pending.writeTo(complete)
         pending.reset()
+        if (eventId != null) {
+            isResumable = true
+        } else if (hasData) {
+            isResumable = false
+        }
         lastId = eventId ?: lastId
         eventId = null
+        hasData = false
     }
 
     private fun eventIdOrNull(line: ByteArray): String? {
-        if (line.size <= idField.size || idField.indices.any { line[it] != idField[it] }) return null
+        if (line.size <= idField.size || !line.startsWith(idField)) return null
         return String(line, idField.size, line.size - idField.size, Charsets.UTF_8).trim()
     }
+
+    private fun ByteArray.startsWith(prefix: ByteArray): Boolean = size >= prefix.size && prefix.indices.all { this[it] == prefix[it] }
 }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/ResponseRelay.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/ResponseRelay.kt
@@ -54,6 +54,9 @@
     /** True once a part of a response has gone to the caller. */
     var hasBegun = false
         private set
+
+    /** True while the response of another target can take the place of what has been received, or continue what has gone to the caller. */
+    val canBeReplaced: Boolean get() = !hasBegun || events?.isResumable == true
     val isForwarding: Boolean get() = mode == Mode.Forward
     val isDiscarding: Boolean get() = mode == Mode.Discard
 
