Load no more adapters on a target than its memory for weights holds

Cause: AdapterSlots counted places only; sizes were decoded and read by nothing.

Fix: Engine.maxAdapters takes the smaller of the places and of what fits beside the held base models. The holder reads it before each order, so a change of the configuration holds at once: idle adapters are unloaded first, nothing is loaded until there is room. Sizes of 0 or less aren't stated and don't bind. The log event adapter-capacity names a change, with WARN if no adapter fits.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterManager.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterManager.kt
@@ -50,8 +50,14 @@
     /** Returns how many base model loads this instance may start in [MODEL_LOAD_WINDOW_MS] for targets of [service]. */
     fun maxModelLoads(service: String): Int
 
-    /** Returns the number of adapter slots of a target of [service], or 0 if the service has no engine. */
-    fun adapterCapacity(service: String): Int
+    /** Returns the number of adapter slots of a target of [service] beside the base models [held], or 0 if the service has no engine. */
+    fun adapterCapacity(
+        service: String,
+        held: Set<String>,
+    ): Int
+
+    /** Returns whether the targets of [service] have adapter slots. */
+    fun hasAdapters(service: String): Boolean
 
     /** Checks whether this process was suspended; called before the lease is checked for an order. */
     fun checkSuspension() = Unit
@@ -71,9 +77,8 @@
 ) {
     private inner class HeldTargetState(
         val target: TargetState,
-        capacity: Int,
     ) {
-        val slots = AdapterSlots(capacity, popularity)
+        val slots = AdapterSlots(capacityOf(target, target.models), popularity)
         var isBusy = false
         var reportAt = 0L
         var reportNeededSince: Long? = null
@@ -84,6 +89,7 @@
         fun isOrderable(now: Long): Boolean {
             val isUnavailable =
                 (reportNeededSince?.let { now - it > MAX_REPORT_WAIT_MS } ?: false) ||
+                    slots.capacity == 0 ||
                     fleet.missingModelOrNull(target, slots.models) != null
             return !isUnavailable && lease.tokenOrNull(target.id, now) != null
         }
@@ -101,10 +107,10 @@
     /** Applies changes of the targets and of the lease, and sends due orders. Called periodically. */
     fun refresh() {
         val now = scheduler.now()
-        val wanted = targets.all.filter { lease.isHolder(it.id) && fleet.adapterCapacity(it.entry.service) > 0 }
+        val wanted = targets.all.filter { lease.isHolder(it.id) && fleet.hasAdapters(it.entry.service) }
         held.values.filter { state -> wanted.none { it === state.target } }.forEach { release(it) }
         wanted.forEach { target ->
-            val state = held.getOrPut(target.id) { HeldTargetState(target, fleet.adapterCapacity(target.entry.service)) }
+            val state = held.getOrPut(target.id) { HeldTargetState(target) }
             if (state.isOrderable(now)) target.orderableUntil = now + ORDERABLE_TTL_MS
             sendNext(state)
         }
@@ -121,6 +127,11 @@
         return true
     }
 
+    private fun capacityOf(
+        target: TargetState,
+        models: Set<String>,
+    ): Int = fleet.adapterCapacity(target.entry.service, models)
+
     private fun release(state: HeldTargetState) {
         state.timer?.cancel()
         held.remove(state.target.id)
@@ -167,6 +178,7 @@
     ): TargetOrder? {
         val target = state.target
         val model = fleet.missingModelOrNull(target, state.slots.models)
+        updateCapacity(state)
         val next = state.slots.nextOrNull(now, model, { fleet.isInUse(target, it) }, { fleet.currentVersion(it.name) == it })
         if (next !is TargetOrder.LoadModel || state.slots.isModelLoading) return next
         // Base model loads beyond the rate of the weight store wait.
@@ -177,6 +189,16 @@
         return next
     }
 
+    private fun updateCapacity(state: HeldTargetState) {
+        val capacity = capacityOf(state.target, state.slots.models)
+        if (capacity == state.slots.capacity) return
+        val level = if (capacity == 0) Level.WARN else Level.INFO
+        log.event(level, "adapter-capacity", "target" to state.target.id, "before" to state.slots.capacity, "now" to capacity) {
+            "the number of adapters that the target holds has changed"
+        }
+        state.slots.capacity = capacity
+    }
+
     private fun scheduleReport(state: HeldTargetState) {
         val now = scheduler.now()
         state.reportAt = now + REPORT_DELAY_MS
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterSlots.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterSlots.kt
@@ -52,9 +52,10 @@
     val loading: Set<AdapterVersion>,
 )
 
-/** Tracks the slots of one target that has room for [capacity] adapters, and picks the next order. Not thread-safe. */
+/** Tracks the slots of one target and picks the next order. Not thread-safe. */
 class AdapterSlots(
-    private val capacity: Int,
+    /** Number of adapters that the target holds; changes with the configuration and with the base models beside them. */
+    var capacity: Int,
     private val popularity: Popularity,
 ) {
     private class Slot(
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -18,8 +18,6 @@
 import io.skylarkstile.core.placement.Popularity
 import io.skylarkstile.gateway.adapter.AdapterManager
 import io.skylarkstile.gateway.adapter.AdapterPlacement
-import io.skylarkstile.gateway.adapter.FleetView
-import io.skylarkstile.gateway.adapter.MODEL_LOAD_WINDOW_MS
 import io.skylarkstile.gateway.adapter.TargetClient
 import io.skylarkstile.gateway.admission.CallAdmission
 import io.skylarkstile.gateway.admission.FleetStatus
@@ -35,8 +33,6 @@
 import io.skylarkstile.gateway.membership.OrderLease
 import io.skylarkstile.gateway.membership.formatAddress
 import io.skylarkstile.gateway.membership.peerRecordOrNull
-import io.skylarkstile.gateway.model.AdapterName
-import io.skylarkstile.gateway.model.AdapterVersion
 import io.skylarkstile.gateway.model.Configuration
 import io.skylarkstile.gateway.model.GatewaySettings
 import io.skylarkstile.gateway.peer.FleetCrashReports
@@ -175,7 +171,7 @@
             lease,
             targets,
             platform.targetClient,
-            GatewayFleetView(),
+            GatewayFleetView(serving, exchange, ::checkSuspension),
             popularity,
             scheduler,
             { serving.metrics.recordOrder(it) },
@@ -214,42 +210,6 @@
         override fun relistSet() = this@Gateway.relistSet()
     }
 
-    private inner class GatewayFleetView : FleetView {
-        override fun checkSuspension() = this@Gateway.checkSuspension()
-
-        override fun isInUse(
-            target: TargetState,
-            adapter: AdapterVersion,
-        ): Boolean = adapter in target.adapterCalls || exchange.isInUseElsewhere(target, adapter)
-
-        override fun currentVersion(name: AdapterName): AdapterVersion = serving.currentVersion(name)
-
-        override fun missingModelOrNull(
-            target: TargetState,
-            held: Set<String>,
-        ): String? {
-            val models = engineOf(target.entry.service)?.models?.map { it.name }.orEmpty()
-            if (models.isEmpty() || models.any { it in held }) return null
-            return models.minBy { model -> targets.ready(target.entry.service).count { model in it.models } }
-        }
-
-        override fun maxModelLoads(service: String): Int {
-            val perSecond = engineOf(service)?.loadsPerSecond ?: return 0
-            return (perSecond * MODEL_LOAD_WINDOW_MS / MS_PER_S / serving.instanceCount).toInt().coerceAtLeast(1)
-        }
-
-        private fun engineOf(service: String) = serving.configuration
-            ?.services
-            ?.get(service)
-            ?.engine
-
-        override fun adapterCapacity(service: String): Int = serving.configuration
-            ?.services
-            ?.get(service)
-            ?.engine
-            ?.adapterCapacity ?: 0
-    }
-
     /** Opens all sockets and starts to follow the store. Must not be called on the event loop, since it waits for the binds. */
     fun start() {
         exchange.adapterManager = adapterManager
@@ -500,6 +460,5 @@
         /** Short enough to follow shifts of demand within seconds, long enough for adapters that are requested rarely. */
         const val POPULARITY_HALF_LIFE_MS = 15_000.0
         const val DEFAULT_HEADER_BYTES = 16_384
-        const val MS_PER_S = 1_000.0
     }
 }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/Configuration.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/Configuration.kt
@@ -3,6 +3,8 @@
  */
 package io.skylarkstile.gateway.model
 
+import kotlin.math.floor
+
 /** Holds a complete configuration. [revision] is assigned by the store, [version] by the operator. */
 data class Configuration(
     val revision: Long,
@@ -78,7 +80,25 @@
     val weightsMb: Double,
     val loadsPerSecond: Double,
     val models: List<BaseModel>,
-)
+) {
+    /**
+     * Returns how many adapters a target holds beside the base models [held], by its places and by its memory for weights. Each adapter counts
+     * with the largest size among the adapters of these models. A size of 0 isn't stated, and then only the places count.
+     */
+    fun maxAdapters(held: Set<String>): Int {
+        val beside = models.filter { it.name in held }.ifEmpty { models }
+        val adapterMb = beside.maxOfOrNull { it.adapterMb } ?: 0.0
+        if (weightsMb <= 0 || adapterMb <= 0) return adapterCapacity
+        val freeMb = weightsMb - beside.sumOf { it.weightsMb }
+        // Sizes are written with decimal fractions, so a sum that fits exactly may come out a little too large.
+        val fitting = floor(freeMb / adapterMb + ROUNDING).coerceIn(0.0, adapterCapacity.toDouble())
+        return fitting.toInt()
+    }
+
+    private companion object {
+        const val ROUNDING = 1e-6
+    }
+}
 
 /** Describes a base model; sizes are in megabytes. */
 data class BaseModel(
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/adapter/AdapterManagerSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/adapter/AdapterManagerSpec.kt
@@ -82,7 +82,12 @@
 
     override fun currentVersion(name: AdapterName) = AdapterVersion(name, 1)
 
-    override fun adapterCapacity(service: String) = 4
+    override fun adapterCapacity(
+        service: String,
+        held: Set<String>,
+    ) = 4
+
+    override fun hasAdapters(service: String) = true
 
     override fun missingModelOrNull(
         target: TargetState,
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/adapter/AdapterSlotsSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/adapter/AdapterSlotsSpec.kt
@@ -159,6 +159,26 @@
             slots.phases().size shouldBe 2
         }
 
+        // A change of the configuration may leave less room than the adapters need that are loaded already.
+        test("when a target holds fewer adapters than before, idle ones are unloaded before another is loaded") {
+            val slots = AdapterSlots(4, Popularity())
+            val present = List(4) { adapter("a$it") }.toSet()
+            slots.report(TargetReport(0, setOf("base"), false, present, emptySet()), 0)
+            slots.capacity = 2
+            var unloaded = 0
+            for (now in 500L..5_000L step 50) {
+                slots.request(adapter("new"), now)
+                val order = slots.next(now) ?: continue
+                if (order is AdapterOrder.Load) {
+                    unloaded shouldBe 3
+                    return@test
+                }
+                slots.applyOutcome(order, OrderOutcome.Done, now)
+                unloaded++
+            }
+            error("the requested adapter was never loaded")
+        }
+
         test("a slot is freed before it is needed") {
             val slots = AdapterSlots(2, Popularity())
             slots.report(TargetReport(0, setOf("base"), false, setOf(adapter("a"), adapter("b")), emptySet()), 0)
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/adapter/Stubs.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/adapter/Stubs.kt
@@ -46,5 +46,10 @@
 
     override fun maxModelLoads(service: String) = 1
 
-    override fun adapterCapacity(service: String) = 0
+    override fun adapterCapacity(
+        service: String,
+        held: Set<String>,
+    ) = 0
+
+    override fun hasAdapters(service: String) = false
 }
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/model/ConfigurationSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/model/ConfigurationSpec.kt
@@ -38,6 +38,30 @@
             configuration.routeOrNull("host.example", "") shouldBe null
         }
 
+        // Only places were counted, so a target with large adapters was ordered to load more than its memory holds, and crashed.
+        test("a target holds as many adapters as have a place and fit into its memory beside its base models") {
+            fun engine(
+                weightsMb: Double,
+                vararg models: BaseModel,
+            ) = Engine(8, 1_000, 13, weightsMb, 1.0, models.toList())
+            val large = BaseModel("m", 65_100.0, 200.0, 1_900)
+            val small = BaseModel("n", 1_000.0, 100.0, 1_900)
+            engine(66_600.0, large).maxAdapters(setOf("m")) shouldBe 7
+            engine(66_500.0, large.copy(weightsMb = 65_099.99999999999)).maxAdapters(setOf("m")) shouldBe 7
+            engine(66_500.0, large.copy(weightsMb = 65_100.00000000001)).maxAdapters(setOf("m")) shouldBe 7
+            engine(66_499.0, large).maxAdapters(setOf("m")) shouldBe 6
+            engine(90_000.0, large).maxAdapters(setOf("m")) shouldBe 13
+            engine(65_100.0, large).maxAdapters(setOf("m")) shouldBe 0
+            engine(60_000.0, large).maxAdapters(setOf("m")) shouldBe 0
+            // The target may be loading its first base model.
+            engine(66_600.0, large).maxAdapters(emptySet()) shouldBe 7
+            engine(67_600.0, large, small).maxAdapters(setOf("m", "n")) shouldBe 7
+            engine(2_000.0, large, small).maxAdapters(setOf("n")) shouldBe 10
+            engine(0.0, large).maxAdapters(setOf("m")) shouldBe 13
+            engine(66_600.0, large.copy(adapterMb = 0.0)).maxAdapters(setOf("m")) shouldBe 13
+            engine(66_600.0, large.copy(adapterMb = -1.0)).maxAdapters(setOf("m")) shouldBe 13
+        }
+
         test("except on a public route, a call needs a known key, and keys that are known to be up to date") {
             val freshness = Freshness(4_000)
             val admission = CallAdmission(WorkspaceShares(QuotaTolerance(0.0, 0.0, 8_000)), freshness)
