--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -15,7 +15,6 @@
 import io.skylarkstile.gateway.model.CallHead
 import io.skylarkstile.gateway.model.Dispatch
 import io.skylarkstile.gateway.model.ResponseHead
-import io.skylarkstile.gateway.target.AvailabilityChange
 import io.skylarkstile.gateway.target.CallWeight
 import io.skylarkstile.gateway.target.MAX_LOAD
 import io.skylarkstile.gateway.target.TargetState
@@ -227,33 +226,12 @@
         running.target.recordActivity(serving.scheduler.now())
         running.head = head
         running.respondedAt = serving.scheduler.now()
-        observe(running, head)
+        serving.observeStatements(running.target, head, running.sentAt, call.id)
         running.target.promptProcessed(running.weight.unreadTokens)
         running.weight = running.weight.copy(unreadTokens = 0)
         relay.start(head, response)
     }
 
-    /** Applies what the target says of itself. A misdirected call was answered by another target, which has its address now. */
-    private fun observe(
-        running: Attempt,
-        head: ResponseHead,
-    ) {
-        val now = serving.scheduler.now()
-        val target = running.target
-        if (head.status == MISDIRECTED) return
-        serving.permits.responseReceived(target, head, running.sentAt)
-        if (head.hasMalformedStatement) serving.metrics.recordMalformedStatement()
-        val wasPaused = target.availability.isPaused(now)
-        val change = target.availability.observe(head, now)
-        if (change == AvailabilityChange.Leaving) {
-            log.event(Level.INFO, "target-leaving", "target" to target.id, "call" to call.id) { "target has said that it leaves" }
-        } else if (change == AvailabilityChange.Paused && !wasPaused) {
-            log.event(Level.INFO, "target-paused", "target" to target.id, "call" to call.id, "pauseMs" to head.pauseMs) {
-                "target wants no calls for a while"
-            }
-        }
-    }
-
     override fun content(data: ByteBuf) {
         val running = attempt ?: return
         running.target.recordActivity(serving.scheduler.now())
