--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterManager.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterManager.kt
@@ -192,8 +192,7 @@
     private fun updateCapacity(state: HeldTargetState) {
         val capacity = capacityOf(state.target, state.slots.models)
         if (capacity == state.slots.capacity) return
-        val level = if (capacity == 0) Level.WARN else Level.INFO
-        log.event(level, "adapter-capacity", "target" to state.target.id, "before" to state.slots.capacity, "now" to capacity) {
+        log.event(Level.INFO, "adapter-capacity", "target" to state.target.id, "before" to state.slots.capacity, "now" to capacity) {
             "the number of adapters that the target holds has changed"
         }
         state.slots.capacity = capacity
