--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -449,7 +449,6 @@
         const val PART_BLOCKED = "prompt-part-blocked"
         const val MIN_RESPONSE_TIMEOUT_MS = 250L
         const val SERVER_ERROR = 500
-        const val MISDIRECTED = 421
         const val BAD_GATEWAY = 502
         const val UNAVAILABLE = 503
         const val GATEWAY_TIMEOUT = 504
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetStatements.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetStatements.kt
@@ -12,7 +12,8 @@
 
 private val log = KotlinLogging.logger {}
 
-private const val MISDIRECTED = 421
+/** Status of a response by a target for which the call wasn't meant. */
+internal const val MISDIRECTED = 421
 
 /**
  * Applies the statements of [target] in the response [head] to the call [callId], which was sent at [sentAt]. A misdirected call was answered
--- a/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/ClientConnection.kt
+++ b/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/ClientConnection.kt
@@ -116,8 +116,8 @@
     ) {
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) return
         keepAlive = HttpUtil.isKeepAlive(response)
-        endsWithConnection = !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response)
         val length = if (HttpUtil.isContentLengthSet(response)) HttpUtil.getContentLength(response) else null
+        endsWithConnection = length == null && !HttpUtil.isTransferEncodingChunked(response)
         current.head.complete(
             ResponseHead.Received(response.status().code(), HttpHeaders(response.headers().map { it.key to it.value }), length),
         )
