--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetConnection.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetConnection.kt
@@ -4,6 +4,8 @@
  */
 package io.skylarkstile.gateway.relay
 
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
 import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
@@ -23,8 +25,11 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import io.skylarkstile.config.log.event
 import io.skylarkstile.gateway.model.ResponseHead
 
+private val log = KotlinLogging.logger {}
+
 /** Receives the response to one call. */
 interface ResponseListener {
     fun head(
@@ -58,11 +63,17 @@
     /** Number of bytes that have arrived since this was last set to 0. */
     var receivedBytes = 0L
 
+    /** Called with each group of bytes before it is decoded. */
+    var onBytes: (ByteBuf) -> Unit = {}
+
     override fun channelRead(
         ctx: ChannelHandlerContext,
         message: Any,
     ) {
-        if (message is ByteBuf) receivedBytes += message.readableBytes()
+        if (message is ByteBuf) {
+            receivedBytes += message.readableBytes()
+            onBytes(message)
+        }
         super.channelRead(ctx, message)
     }
 
@@ -91,8 +102,25 @@
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         channel = ctx.channel()
+        decoder.onBytes = { if (listener == null && !isClosing) logForeignBytes("no call in flight", it) }
     }
 
+    /** Logs bytes or the head of a response that belong to no call in flight; [data] are the bytes, if they aren't decoded yet. */
+    private fun logForeignBytes(
+        reason: String,
+        data: ByteBuf? = null,
+    ) = log.event(
+        Level.INFO,
+        "foreign-bytes",
+        "call" to callId,
+        "target" to channel.remoteAddress(),
+        "inFlight" to (listener != null),
+        "callsOnConnection" to callCount,
+        "bytes" to (data?.readableBytes() ?: decoder.receivedBytes),
+        "start" to data?.toString(data.readerIndex(), minOf(data.readableBytes(), MAX_LOGGED_BYTES), Charsets.ISO_8859_1),
+        "reason" to reason,
+    ) { "bytes that belong to no call" }
+
     /** Sends one request; its response goes to [listener]. */
     fun send(
         callId: String,
@@ -153,6 +181,7 @@
         }
         val head = codec.readResponse(response)
         isSkipping = head.status < FIRST_FINAL_STATUS || (head.callId != null && head.callId != callId)
+        if (head.callId != null && head.callId != callId) logForeignBytes("status ${head.status} to call ${head.callId}")
         if (isSkipping) return limitSkipping()
         if (mayAnswerEarlierCall(head)) {
             failure = "response without call id on a reused connection"
@@ -229,6 +258,9 @@
 
     private companion object {
         const val FIRST_FINAL_STATUS = 200
+
+        /** Bytes of foreign data that a log line shows: enough for a status line and an id. */
+        const val MAX_LOGGED_BYTES = 96
     }
 }
 
