Give test processes loopback addresses that their fleets can bind

The fleet's IP is derived from the id of the test process; the other forks had 127.64.36.252 and 127.64.37.1. A JVM that prefers IPv4, as the processes of the fleet do, can't bind an address that ends in 255: a loop over 32,768 addresses failed for just the 128 that do, and for none without that preference, so the parent's check passed. One process id in 256 has such an address. Ruled out: the load, and ports in use (another error).

The last byte is now from 1 to 128.

--- a/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/fleet/Ports.kt
+++ b/skylarkstile-bench/src/main/kotlin/io/skylarkstile/bench/fleet/Ports.kt
@@ -15,13 +15,13 @@
 
 private val nextOffset = AtomicInteger()
 
-/** Derived from the process id, which has at most 22 bits on Linux; the second byte starts at 64 to avoid common addresses. */
-private val ip: String =
-    ProcessHandle
-        .current()
-        .pid()
-        .toInt()
-        .let { pid -> "127.${64 + (pid shr 16 and 0x3f)}.${pid shr 8 and 0xff}.${pid and 0xff}" }
+private val ip: String = loopbackIp(ProcessHandle.current().pid().toInt())
+
+/**
+ * Returns the loopback IP of the process [pid], which has at most 22 bits on Linux. The second byte starts at 64 to avoid common addresses; the
+ * last one is from 1 to 128, since a JVM that prefers IPv4 can't bind an address that ends in 255.
+ */
+internal fun loopbackIp(pid: Int): String = "127.${64 + (pid shr 15 and 0x7f)}.${pid shr 7 and 0xff}.${1 + (pid and 0x7f)}"
 
 /** Returns a loopback address (`ip:port`) on which nothing listens. Addresses repeat only after the whole port range has been used. */
 fun freeAddress(): String {
