--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/ExchangeState.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/ExchangeState.kt
@@ -33,12 +33,15 @@
 private const val STATUS_LINE_START = "HTTP/1."
 private const val STATUS_DIGITS = 3
 
+/** Characters of a decoder's message that are passed on: it may contain a part of the head. */
+private const val MAX_CAUSE_LENGTH = 120
+
 /** Returns why [response] can't be the head of one response, or null if it can; [head] is what was read from it. */
 internal fun headFaultOrNull(
     response: HttpResponse,
     head: ResponseHead,
 ): String? = when {
-    response.decoderResult().isFailure -> "malformed head"
+    response.decoderResult().isFailure -> "malformed head: ${response.decoderResult().cause().message?.take(MAX_CAUSE_LENGTH)}"
     head.isAmbiguous -> "two call ids or signatures in a head"
     containsStatusLine(response) -> "two status lines in a head"
     else -> null
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/main/GatewayMetricsPageSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/main/GatewayMetricsPageSpec.kt
@@ -50,6 +50,7 @@
                 recordRefusal("over-rate")
                 recordOrder(OrderOutcome.Done)
                 recordLostCall(true)
+                recordForeignBytes(true)
                 recordCallEnd("served", 1, 2, 3)
             }
             val rows =
