Bound the memory that request bodies take together

Cause: each body is kept until its call ends, and nothing bounded their sum. A request that doesn't fit is refused at once with 503 and a time to return from the rate at which memory comes free, and its body is read and dropped, so that the refusal isn't lost in a reset.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -14,6 +14,7 @@
 import io.netty.channel.WriteBufferWaterMark
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpResponseEncoder
+import io.netty.util.internal.PlatformDependent
 import io.skylarkstile.config.log.event
 import io.skylarkstile.core.placement.Popularity
 import io.skylarkstile.gateway.adapter.AdapterManager
@@ -44,6 +45,7 @@
 import io.skylarkstile.gateway.peer.changesSourceOf
 import io.skylarkstile.gateway.peer.livenessCheck
 import io.skylarkstile.gateway.peer.serveChanges
+import io.skylarkstile.gateway.relay.BodyBudget
 import io.skylarkstile.gateway.relay.CallCodec
 import io.skylarkstile.gateway.relay.CallerConnection
 import io.skylarkstile.gateway.relay.RelayContext
@@ -165,6 +167,7 @@
             exchange.permits,
             crashReports,
             metrics,
+            BodyBudget(PlatformDependent.maxDirectMemory()),
             random::nextDouble,
         )
     private val adapterManager =
@@ -196,6 +199,7 @@
         override val leavingTargets: Int get() = targets.all.count { it.availability.isLeaving }
         override val pausedTargets: Int get() = scheduler.now().let { now -> targets.all.count { it.availability.isPaused(now) } }
         override val blockedParts: Int get() = crashReports.blockedParts()
+        override val bodyBytes: Long get() = serving.bodies.reservedBytes
         override val configurationAgeMs: Long? get() = keyFreshness.ageOrNull(scheduler.now())
     }
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/GatewayMetrics.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/GatewayMetrics.kt
@@ -20,6 +20,9 @@
     val limitedTargets: Int
     val blockedParts: Int
 
+    /** Bytes that the bodies of requests take of the memory for them. */
+    val bodyBytes: Long
+
     /** Number of targets that have said that they leave, and of those that have asked for a pause. */
     val leavingTargets: Int
     val pausedTargets: Int
@@ -113,6 +116,7 @@
         gauge("skylarkstile_gateway_blocked_parts", "Shared prompt parts whose calls are refused because targets crashed under them.") {
             gauges.blockedParts.toDouble()
         }
+        gauge("skylarkstile_gateway_body_bytes", "Bytes held or reserved for the bodies of requests.") { gauges.bodyBytes.toDouble() }
         gauge("skylarkstile_gateway_configuration_age_seconds", "Time since the configuration was last confirmed; -1 if never.") {
             gauges.configurationAgeMs?.let { it / MS_PER_S } ?: -1.0
         }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
@@ -55,7 +55,10 @@
     private lateinit var ctx: ChannelHandlerContext
     private val pendingMessages = ArrayDeque<Any>()
     private var request: HttpRequest? = null
-    private var body: ByteBuf = Unpooled.EMPTY_BUFFER
+    private val body = RequestBody(serving.bodies)
+
+    /** True while the body of a request that has been refused is read and dropped, so that its sender can read the refusal. */
+    private var isDiscarding = false
     private var run: CallRun? = null
     private var isBusy = false
     private var isKeepAlive = true
@@ -63,7 +66,7 @@
     private var timer: Timer? = null
 
     /** True while no request is being received or answered. */
-    val isIdle: Boolean get() = !isBusy && request == null && pendingMessages.isEmpty()
+    val isIdle: Boolean get() = !isBusy && !isDiscarding && request == null && pendingMessages.isEmpty()
     private val limits: CallerLimits get() = serving.configuration?.limits ?: defaultLimits
 
     override fun channelActive(ctx: ChannelHandlerContext) {
@@ -93,6 +96,7 @@
     private fun process(message: Any) {
         try {
             if (message is HttpRequest) begin(message)
+            if (message is HttpContent && isDiscarding) return discard(message)
             if (message is HttpContent && request != null && !isBusy) append(message)
         } finally {
             ReferenceCountUtil.release(message)
@@ -106,11 +110,12 @@
             return reject(BAD_REQUEST, "unsupported transfer encoding")
         }
         request = message
-        body = Unpooled.EMPTY_BUFFER
         isKeepAlive = HttpUtil.isKeepAlive(message)
         timer?.cancel()
         timer = serving.scheduler.after(limits.headerTimeoutMs * REQUEST_TIMEOUT_FACTOR) { reject(REQUEST_TIMEOUT, "request incomplete") }
-        if (HttpUtil.getContentLength(message, 0L) > limits.bodyBytes) return reject(BODY_TOO_LARGE, "body too large")
+        val length = HttpUtil.getContentLength(message, 0L)
+        if (length > limits.bodyBytes) return reject(BODY_TOO_LARGE, "body too large")
+        if (!body.tryReserve(length)) return refuseBody(message, length)
         if (HttpUtil.is100ContinueExpected(
                 message,
             )
@@ -122,21 +127,60 @@
     private fun append(part: HttpContent) {
         if (part.decoderResult().isFailure) return reject(BAD_REQUEST, "malformed body")
         val data = part.content()
-        if (body.readableBytes() + data.readableBytes() > limits.bodyBytes) return reject(BODY_TOO_LARGE, "body too large")
-        if (data.isReadable) {
-            if (body === Unpooled.EMPTY_BUFFER) body = ctx.alloc().buffer(data.readableBytes())
-            body.writeBytes(data)
+        if (body.size + data.readableBytes() > limits.bodyBytes) return reject(BODY_TOO_LARGE, "body too large")
+        val message = request ?: return
+        if (!body.tryAdd(
+                data,
+                ctx.alloc(),
+            )
+        ) {
+            return refuseBody(message, (body.size + data.readableBytes()).toLong(), part is LastHttpContent)
         }
         if (part is LastHttpContent) dispatch()
     }
 
+    /** Refuses [message], whose body of [size] bytes can't be held, at once; [isRead] is true if it has no further part. */
+    private fun refuseBody(
+        message: HttpRequest,
+        size: Long,
+        isRead: Boolean = false,
+    ) {
+        val call = serving.codec.readCallOrNull(message) ?: return reject(BAD_REQUEST, "invalid request head")
+        val retryAfterMs = serving.bodies.retryAfterMs(size, serving.scheduler.now())
+        logRefusal(call, Admission.Refused(SERVICE_UNAVAILABLE, "memory-full", retryAfterMs))
+        // A sender that waits for permission to send its body may not send it after a refusal.
+        if (serving.isLeaving || HttpUtil.is100ContinueExpected(message)) isKeepAlive = false
+        val answer = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER)
+        HttpUtil.setContentLength(answer, 0)
+        serving.codec.addOwnHeaders(answer.headers(), call.id, retryAfterMs)
+        if (!isKeepAlive) answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        ctx.writeAndFlush(answer)
+        dropRequest()
+        isDiscarding = true
+        timer = serving.scheduler.after(limits.headerTimeoutMs * REQUEST_TIMEOUT_FACTOR) { ctx.close() }
+        if (isRead || HttpUtil.is100ContinueExpected(message)) endDiscarding()
+    }
+
+    private fun discard(part: HttpContent) {
+        if (part is LastHttpContent) endDiscarding()
+    }
+
+    private fun endDiscarding() {
+        isDiscarding = false
+        if (!isKeepAlive) {
+            isClosing = true
+            ctx.flush().close()
+        } else {
+            waitForRequest()
+        }
+    }
+
     private fun dispatch() {
         timer?.cancel()
         val message = request ?: return
         val arrivedAt = serving.scheduler.now()
         request = null
-        val content = body
-        body = Unpooled.EMPTY_BUFFER
+        val content = body.take()
         val call = serving.codec.readCallOrNull(message)
         if (call == null) {
             content.release()
@@ -233,13 +277,13 @@
     private fun dropRequest() {
         timer?.cancel()
         request = null
-        if (body.refCnt() > 0) body.release()
-        body = Unpooled.EMPTY_BUFFER
+        body.drop(serving.scheduler.now())
     }
 
     private fun responseWritten(keepAlive: Boolean) {
         run = null
         isBusy = false
+        body.release(serving.scheduler.now())
         if (!keepAlive || isClosing) {
             isClosing = true
             return
@@ -326,6 +370,7 @@
         override fun abort() {
             isClosing = true
             run = null
+            body.release(serving.scheduler.now())
             ctx.close()
         }
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/RelayContext.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/RelayContext.kt
@@ -43,6 +43,7 @@
     val permits: CallPermits,
     val crashGuard: CrashGuard,
     val metrics: GatewayMetrics,
+    val bodies: BodyBudget,
     val random: () -> Double,
 ) {
     /** Limits the number of log lines about single calls. */
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/main/GatewayMetricsPageSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/main/GatewayMetricsPageSpec.kt
@@ -20,6 +20,7 @@
     override val suspectedTargets = 0
     override val limitedTargets = 0
     override val blockedParts = 0
+    override val bodyBytes = 0L
     override val leavingTargets = 0
     override val pausedTargets = 0
     override val configurationAgeMs: Long? = null
