Pass a failure on a resumable stream on as it is, whatever its size

Cause: a failure is buffered up to 65,536 bytes and forwarded from there on, and what is forwarded on a resumable stream was read as events. Its body has none, so the response looked broken off, was sent again with another target's, and that one's status couldn't continue it. The length was left out too. On a once-stream, a failure without a length, chunks and content type was taken for a stream of events as well; this was only read in the code, as the test stopped at the resumable stream.

Now the body of a response that is no success isn't read as events, goes out with its length, and can't be replaced once a part of it has gone to the caller. Below the buffered size it is still replaced by another target's response.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -271,7 +271,7 @@
         when {
             head.isNotExecuted -> retryUnexecuted(running, head)
             relay.isDiscarding -> failed(running, "unusable response")
-            relay.isForwarding -> finishForwarding(running, now)
+            relay.isForwarding -> finishForwarding(running, head, now)
             head.status >= SERVER_ERROR && route.isRepeatable && canRetry() -> failed(running, "status ${head.status}")
             else -> sendBuffered(running, head, now)
         }
@@ -279,26 +279,34 @@
 
     private fun finishForwarding(
         running: Attempt,
+        head: ResponseHead,
         now: Long,
     ) {
         if (relay.isInsideEvent) return connectionLost(running, "stream ended inside an event")
-        running.target.health.recordResponse(now)
-        release(running)
-        recordServed(running, now)
+        recordWhole(running, head, now)
         relay.endForwarding()
-        finish("served")
+        finish(if (head.status in SUCCESS_STATUSES) "served" else "status-${head.status}")
     }
 
     private fun sendBuffered(
         running: Attempt,
         head: ResponseHead,
         now: Long,
+    ) {
+        recordWhole(running, head, now)
+        relay.sendBuffered()
+        finish("status-${head.status}")
+    }
+
+    /** Ends [running], whose target has sent its whole response. */
+    private fun recordWhole(
+        running: Attempt,
+        head: ResponseHead,
+        now: Long,
     ) {
         if (head.status >= SERVER_ERROR) running.target.health.recordFailure(now) else running.target.health.recordResponse(now)
         release(running)
         recordServed(running, now)
-        relay.sendBuffered()
-        finish("status-${head.status}")
     }
 
     private fun retryUnexecuted(
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/ResponseRelay.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/ResponseRelay.kt
@@ -42,7 +42,8 @@
 ) {
     private enum class Mode { Undecided, Buffer, Forward, Discard }
 
-    private val events = if (route.repeatability == Repeatability.ResumableStream) EventSplitter() else null
+    /** Splits the body if it is a resumable stream; null once a failure is forwarded, since its body holds no events. */
+    private var events = if (route.repeatability == Repeatability.ResumableStream) EventSplitter() else null
     private var boundary: EventBoundary? = null
     private var mode = Mode.Undecided
     private var bufferedBody: ByteBuf? = null
@@ -64,7 +65,7 @@
     val lastEventId: String? get() = events?.lastId
 
     /** True if the stream has stopped inside an event: it has been broken off, even if its response looks complete. */
-    val isInsideEvent: Boolean get() = boundary?.isInsideEvent ?: (events != null && events.bufferedBytes > 0)
+    val isInsideEvent: Boolean get() = boundary?.isInsideEvent ?: ((events?.bufferedBytes ?: 0) > 0)
 
     /** Prepares for the response of another target. */
     fun reset() {
@@ -118,8 +119,10 @@
         val started = checkNotNull(response)
         hasBegun = true
         contentType = contentTypeOf(started)
+        val isSuccess = head?.status in SUCCESS_STATUSES
+        if (!isSuccess) events = null
         val isEventStream = contentType == EVENT_STREAM || (contentType == null && head?.endsWithConnection == true)
-        if (route.repeatability == Repeatability.OnceStream && isEventStream) boundary = EventBoundary()
+        if (route.repeatability == Repeatability.OnceStream && isSuccess && isEventStream) boundary = EventBoundary()
         onBegin()
         // The length of one target's stream is not valid when another target may continue it.
         val length = if (events == null) contentLengthOrNull(started) else null
@@ -160,14 +163,15 @@
     }
 
     private fun forward(data: ByteBuf): BodyState {
-        if (events == null) {
+        val splitter = events
+        if (splitter == null) {
             boundary?.add(data)
             caller.writeBody(data)
             return BodyState.Continues
         }
-        val whole = events.add(ByteBufUtil.getBytes(data))
+        val whole = splitter.add(ByteBufUtil.getBytes(data))
         if (whole.isNotEmpty()) caller.writeBody(Unpooled.wrappedBuffer(whole))
-        return if (events.isOversized) BodyState.EventTooLarge else BodyState.Continues
+        return if (splitter.isOversized) BodyState.EventTooLarge else BodyState.Continues
     }
 
     /** Sends what has been written to the caller's connection. */
