--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -201,7 +201,8 @@
                 adapterVersion = started.adapter?.version?.takeIf { call.adapter in serving.adapterVersions },
                 lastEventId = relay.lastEventId ?: call.lastEventId,
             )
-        connection.send(call.id, call.method, call.uri, serving.codec.targetHeaders(call, dispatch), body.retainedDuplicate(), this)
+        val headers = serving.codec.targetHeaders(call, dispatch)
+        connection.send(call.id, call.method, call.uri, headers, body.retainedDuplicate(), route.isRepeatable, this)
         watchForResponse(started)
     }
 
@@ -271,34 +272,50 @@
         when {
             head.isNotExecuted -> retryUnexecuted(running, head)
             relay.isDiscarding -> failed(running, "unusable response")
-            relay.isForwarding -> finishForwarding(running, now)
-            head.status >= SERVER_ERROR && route.isRepeatable && canRetry() -> failed(running, "status ${head.status}")
+            relay.isForwarding -> finishForwarding(running, head, now)
+            head.status >= SERVER_ERROR && route.isRepeatable && canRetry() -> repeatAfterFailure(running, head)
             else -> sendBuffered(running, head, now)
         }
     }
 
+    /** Tries another target, and keeps the failure in case that it doesn't respond better. */
+    private fun repeatAfterFailure(
+        running: Attempt,
+        head: ResponseHead,
+    ) {
+        relay.keep()
+        failed(running, "status ${head.status}")
+    }
+
     private fun finishForwarding(
         running: Attempt,
+        head: ResponseHead,
         now: Long,
     ) {
         if (relay.isInsideEvent) return connectionLost(running, "stream ended inside an event")
-        running.target.health.recordResponse(now)
-        release(running)
-        recordServed(running, now)
+        recordWhole(running, head, now)
         relay.endForwarding()
-        finish("served")
+        finish(if (head.status in SUCCESS_STATUSES) "served" else "status-${head.status}")
     }
 
     private fun sendBuffered(
         running: Attempt,
         head: ResponseHead,
         now: Long,
+    ) {
+        recordWhole(running, head, now)
+        finish("status-${relay.sendBuffered()}")
+    }
+
+    /** Ends [running], whose target has sent its whole response. */
+    private fun recordWhole(
+        running: Attempt,
+        head: ResponseHead,
+        now: Long,
     ) {
         if (head.status >= SERVER_ERROR) running.target.health.recordFailure(now) else running.target.health.recordResponse(now)
-        release(running)
+        endAttempt()
         recordServed(running, now)
-        relay.sendBuffered()
-        finish("status-${head.status}")
     }
 
     private fun retryUnexecuted(
@@ -374,7 +391,11 @@
         ) { "call failed on its target" }
         if (route.isRepeatable && canRetry()) return retry(running)
         endAttempt()
-        if (relay.hasBegun) abortResponse(reason) else refuse(BAD_GATEWAY, "target-failed", null)
+        when {
+            relay.hasBegun -> abortResponse(reason)
+            relay.hasKept -> sendKept()
+            else -> refuse(BAD_GATEWAY, "target-failed", null)
+        }
     }
 
     /** Returns whether the call may be executed once more, its caller can use another response, and another target has room for it. */
@@ -391,7 +412,8 @@
         search.exclude(running.target)
         endAttempt()
         relay.reset()
-        search.choose()
+        // A target that isn't free now is no reason to hold a response back.
+        if (relay.hasKept && !canRetry()) sendKept() else search.choose()
     }
 
     /** Ends the current attempt and closes its connection if the response is incomplete. */
@@ -422,11 +444,14 @@
         endAttempt()
         when {
             relay.hasBegun -> abortResponse(reason)
+            relay.hasKept -> sendKept()
             mayHaveExecuted -> refuse(GATEWAY_TIMEOUT, reason, null)
             else -> refuse(UNAVAILABLE, reason, retryAfterMs)
         }
     }
 
+    private fun sendKept() = finish("status-${relay.sendKept()}")
+
     private fun refuse(
         status: Int,
         reason: String,
