Let no exchange of the control client get a response that isn't its own from what was left on its connection

The client of the store, of orders, reports and probes keeps connections as the relay does, and its responses name no request. In the new test the response 409 to a second request was passed on as 200, joined from the start of a copy of the first response ("HTTP/1.1 200 O") and the whole second one.

HttpClientCodec decodes at any time, so bytes on an idle connection became the start of the next response, and a whole response that was left over became the next one's. A head with a second status line was accepted, and so was an interim response (103) as the response itself.

Ruled out: a length beside chunks and repeated lengths failed before, too.

Bytes are decoded only while a request is in flight. A response is passed on at the end of the read that completes it; with bytes behind it on a reused connection it fails. A server that sent such bytes gets one request on each connection for 15 s, four times as long each further time, up to 10 min. The decoder, the check of heads and the time without reuse are shared with the relay in the module skylarkstile-http. The decoder also refuses chunk sizes and trailers that contain the start of a status line, which were taken for an extension or a trailer.

What remains is in the doc comment of ControlClient: a whole extra response that arrives alone, after the next request on a reused connection of a server that hasn't been caught.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/http/ControlClient.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/http/ControlClient.kt
@@ -1,30 +1,38 @@
 /*
  * HTTP client for short calls with fully buffered responses, used for the store, orders and reports. A connection whose response times out
  * is closed, since a later response could be taken for that of another call.
+ *
+ * Responses name no request, so a server that responds twice is recognized by bytes that arrive at a time when none may: while its connection
+ * is idle, or together with a response and behind it. Its connections then carry one exchange each for a while, which costs a handshake for each
+ * call. What remains: a whole extra response that arrives after the next request on a reused connection, and apart from the response to it, is
+ * taken for that one. The response that is left over then ends the connection, so this happens once, before the server is recognized.
  */
 package io.skylarkstile.gateway.http
 
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
-import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
-import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
-import io.netty.handler.codec.http.FullHttpResponse
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
-import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import io.skylarkstile.config.log.event
 import io.skylarkstile.gateway.main.Scheduler
 import io.skylarkstile.gateway.main.Timer
+import io.skylarkstile.http.ConnectionReuse
+import io.skylarkstile.http.ResponseDecoder
 import java.net.InetSocketAddress
 
+private val log = KotlinLogging.logger {}
+
 /** Maximum size of a response of the store, in bytes: a page of a list. */
 const val MAX_STORE_RESPONSE_BYTES = 16 * 1024 * 1024
 
@@ -64,12 +72,15 @@
     private val maxResponseBytes: Int,
 ) {
     private class Idle(
-        val channel: Channel,
+        val connection: ControlConnection,
         val since: Long,
     )
 
     private val idle = HashMap<InetSocketAddress, ArrayDeque<Idle>>()
 
+    /** Holds the servers that have sent bytes that belong to no exchange. */
+    private val reuse = HashMap<InetSocketAddress, ConnectionReuse>()
+
     /** Sends [request] to [address] and passes the outcome to [done] within [timeoutMs] milliseconds. */
     fun call(
         address: InetSocketAddress,
@@ -78,24 +89,60 @@
         done: (ControlResult) -> Unit,
     ) {
         val exchange = Exchange(address, request, done)
-        exchange.timer =
-            scheduler.after(timeoutMs) { exchange.finish(ControlResult.Failed("no response within $timeoutMs ms", exchange.sent), false) }
+        exchange.timer = scheduler.after(timeoutMs) { exchange.timeOut(timeoutMs) }
         val pooled = takeIdleOrNull(address)
         if (pooled != null) exchange.begin(pooled) else connect(exchange)
     }
 
-    private fun takeIdleOrNull(address: InetSocketAddress): Channel? {
+    private fun takeIdleOrNull(address: InetSocketAddress): ControlConnection? {
         val queue = idle[address] ?: return null
         val now = scheduler.now()
+        val mayReuse = mayReuse(address, now)
         while (queue.isNotEmpty()) {
             val pooled = queue.removeLast()
-            if (pooled.channel.isActive && now - pooled.since < MAX_IDLE_MS) return pooled.channel
-            pooled.channel.close()
+            if (mayReuse && pooled.connection.isUsable && now - pooled.since < MAX_IDLE_MS) return pooled.connection
+            pooled.connection.abandon()
         }
         return null
     }
 
+    private fun mayReuse(
+        address: InetSocketAddress,
+        now: Long,
+    ): Boolean = reuse[address]?.isPermitted(now) != false
+
+    private fun keepIdle(
+        address: InetSocketAddress,
+        connection: ControlConnection,
+    ) {
+        val now = scheduler.now()
+        if (!mayReuse(address, now)) return connection.abandon()
+        idle.getOrPut(address) { ArrayDeque() }.addLast(Idle(connection, now))
+    }
+
+    private fun foreignBytesReceived(
+        address: InetSocketAddress,
+        foreign: ForeignControlBytes,
+    ) {
+        val noReuseMs = reuse.getOrPut(address) { ConnectionReuse() }.recordForeignBytes(scheduler.now())
+        log.event(
+            Level.INFO,
+            "control-foreign-bytes",
+            "address" to address,
+            "inFlight" to foreign.isInFlight,
+            "exchangesOnConnection" to foreign.exchangesOnConnection,
+            "bytes" to foreign.bytes,
+            "start" to foreign.start,
+            "noReuseMs" to noReuseMs,
+            "reason" to foreign.reason,
+        ) { "server sent bytes that belong to no exchange" }
+    }
+
     private fun connect(exchange: Exchange) {
+        val decoder = ResponseDecoder()
+        val connection = ControlConnection(decoder, maxResponseBytes)
+        connection.onIdle = { keepIdle(exchange.address, connection) }
+        connection.onForeignBytes = { foreignBytesReceived(exchange.address, it) }
         val bootstrap =
             Bootstrap()
                 .group(loop)
@@ -105,23 +152,15 @@
                 .handler(
                     object : ChannelInitializer<Channel>() {
                         override fun initChannel(channel: Channel) {
-                            channel.pipeline().addLast(
-                                HttpClientCodec(),
-                                ResponseEndHandler(),
-                                HttpObjectAggregator(maxResponseBytes),
-                                ResponseHandler(),
-                            )
+                            channel.pipeline().addLast(HttpRequestEncoder(), decoder, ResponseEndHandler(), connection)
                         }
                     },
                 )
         bootstrap.connect(exchange.address).addListener { future ->
-            val channel = (future as io.netty.channel.ChannelFuture).channel()
             if (future.isSuccess) {
-                exchange.begin(
-                    channel,
-                )
+                exchange.begin(connection)
             } else {
-                exchange.finish(ControlResult.Failed("could not connect: ${future.cause()?.message}", false), false)
+                exchange.finish(ControlResult.Failed("could not connect: ${future.cause()?.message}", false))
             }
         }
     }
@@ -133,76 +172,33 @@
     ) {
         var timer: Timer? = null
         var sent = false
-        private var channel: Channel? = null
+        private var connection: ControlConnection? = null
         private var finished = false
 
-        fun begin(channel: Channel) {
-            if (finished) {
-                channel.close()
-                return
-            }
-            this.channel = channel
+        fun begin(connection: ControlConnection) {
+            if (finished) return connection.abandon()
+            this.connection = connection
             val body = request.body?.let { Unpooled.wrappedBuffer(it.encodeToByteArray()) } ?: Unpooled.EMPTY_BUFFER
             val message = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method, request.uri, body)
             message.headers().set(HttpHeaderNames.HOST, "${address.address.hostAddress}:${address.port}")
             if (request.body != null) message.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
             if (request.body != null) HttpUtil.setContentLength(message, body.readableBytes().toLong())
             request.headers.forEach { (name, value) -> message.headers().set(name, value) }
-            channel.pipeline().get(ResponseHandler::class.java).exchange = this
             sent = true
-            channel.writeAndFlush(message)
+            connection.send(message, ::finish)
+        }
+
+        /** Ends the exchange because no response has arrived in time. */
+        fun timeOut(timeoutMs: Long) {
+            connection?.abandon()
+            finish(ControlResult.Failed("no response within $timeoutMs ms", sent))
         }
 
-        fun finish(
-            result: ControlResult,
-            reusable: Boolean,
-        ) {
+        fun finish(result: ControlResult) {
             if (finished) return
             finished = true
             timer?.cancel()
-            channel?.let {
-                it.pipeline().get(ResponseHandler::class.java)?.exchange = null
-                if (reusable) idle.getOrPut(address) { ArrayDeque() }.addLast(Idle(it, scheduler.now())) else it.close()
-            }
             done(result)
         }
     }
-
-    private class ResponseHandler : SimpleChannelInboundHandler<FullHttpResponse>() {
-        var exchange: Exchange? = null
-
-        override fun channelRead0(
-            ctx: ChannelHandlerContext,
-            response: FullHttpResponse,
-        ) {
-            val current = exchange
-            if (current == null) {
-                ctx.close()
-                return
-            }
-            val isComplete = response.decoderResult().isSuccess
-            val result =
-                if (isComplete) {
-                    ControlResult.Answer(
-                        response.status().code(),
-                        response.content().toString(Charsets.UTF_8),
-                    )
-                } else {
-                    ControlResult.Failed("malformed response", true)
-                }
-            current.finish(result, isComplete && HttpUtil.isKeepAlive(response))
-        }
-
-        override fun channelInactive(ctx: ChannelHandlerContext) {
-            exchange?.finish(ControlResult.Failed("connection closed", true), false)
-        }
-
-        override fun exceptionCaught(
-            ctx: ChannelHandlerContext,
-            cause: Throwable,
-        ) {
-            exchange?.finish(ControlResult.Failed("connection failed: ${cause.message}", true), false)
-            ctx.close()
-        }
-    }
 }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/ExchangeState.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/ExchangeState.kt
@@ -6,6 +6,7 @@
 
 import io.netty.handler.codec.http.HttpResponse
 import io.skylarkstile.gateway.model.ResponseHead
+import io.skylarkstile.http.headFaultOrNull
 
 /** Says what the next byte on a connection may belong to. */
 internal sealed interface ExchangeState {
@@ -30,34 +31,8 @@
     data object Ended : ExchangeState
 }
 
-private const val STATUS_LINE_START = "HTTP/1."
-private const val STATUS_DIGITS = 3
-
 /** Returns why [response] can't be the head of one response, or null if it can; [head] is what was read from it. */
 internal fun headFaultOrNull(
     response: HttpResponse,
     head: ResponseHead,
-): String? = when {
-    response.decoderResult().isFailure -> "malformed head"
-    head.isAmbiguous -> "two call ids or signatures in a head"
-    containsStatusLine(response) -> "two status lines in a head"
-    else -> null
-}
-
-/** The start of a response that was cut off is followed by the whole head of the next one, so that its status line stands inside a line. */
-private fun containsStatusLine(response: HttpResponse): Boolean {
-    if (containsStatusLine(response.status().reasonPhrase())) return true
-    val headers = response.headers().iteratorCharSequence()
-    while (headers.hasNext()) {
-        val (name, value) = headers.next()
-        if (containsStatusLine(value) || containsStatusLine(name)) return true
-    }
-    return false
-}
-
-private fun containsStatusLine(text: CharSequence): Boolean {
-    val start = text.indexOf(STATUS_LINE_START)
-    if (start < 0) return false
-    val status = text.subSequence(start, text.length).drop(STATUS_LINE_START.length + 1)
-    return status.startsWith(" ") && status.drop(1).takeWhile { it.isDigit() }.length >= STATUS_DIGITS
-}
+): String? = headFaultOrNull(response) ?: if (head.isAmbiguous) "two call ids or signatures in a head" else null
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetConnection.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetConnection.kt
@@ -23,6 +23,7 @@
 import io.netty.util.ReferenceCountUtil
 import io.skylarkstile.gateway.model.ResponseHead
 import io.skylarkstile.gateway.target.TargetState
+import io.skylarkstile.http.ResponseDecoder
 
 /** Receives the response to one call. */
 interface ResponseListener {
@@ -70,7 +71,7 @@
 /** Handles one connection; [codec] reads the response heads. Runs on the event loop. */
 internal class TargetConnection(
     private val codec: CallCodec,
-    private val decoder: TargetResponseDecoder,
+    private val decoder: ResponseDecoder,
 ) : ChannelInboundHandlerAdapter() {
     lateinit var channel: Channel
         private set
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetConnectionPool.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetConnectionPool.kt
@@ -18,6 +18,7 @@
 import io.skylarkstile.gateway.main.GatewayMetrics
 import io.skylarkstile.gateway.main.Scheduler
 import io.skylarkstile.gateway.target.TargetState
+import io.skylarkstile.http.ResponseDecoder
 import java.net.InetSocketAddress
 
 private val log = KotlinLogging.logger {}
@@ -116,7 +117,7 @@
         done: (TargetConnection?) -> Unit,
     ) {
         pool.openCount++
-        val decoder = TargetResponseDecoder()
+        val decoder = ResponseDecoder()
         val connection = TargetConnection(codec, decoder)
         connection.onIdle = { keepAliveMs -> keepIdle(pool, connection, keepAliveMs) }
         connection.onForeignBytes = { foreignBytesReceived(connection, it) }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetAvailability.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetAvailability.kt
@@ -6,6 +6,7 @@
 package io.skylarkstile.gateway.target
 
 import io.skylarkstile.gateway.model.ResponseHead
+import io.skylarkstile.http.ConnectionReuse
 
 /** Longest pause that is followed, in milliseconds: a target that wants no calls for longer leaves, and a larger value is likely a fault. */
 private const val LONGEST_PAUSE_MS = 600_000L
@@ -13,11 +14,6 @@
 /** After a pause, one call is sent first; the others follow when it is answered or after this time, in milliseconds. */
 private const val FIRST_CALL_MS = 500L
 
-/** Time without reuse of connections after a target has sent bytes that belong to no call, in milliseconds; it grows with each further time. */
-private const val FIRST_NO_REUSE_MS = 15_000L
-private const val LONGEST_NO_REUSE_MS = 600_000L
-private const val NO_REUSE_GROWTH = 4L
-
 /** Says what a response has changed. */
 enum class AvailabilityChange { None, Leaving, Paused }
 
@@ -30,8 +26,7 @@
         private set
     private var pausedUntil = NEVER
     private var firstCallAt = NEVER
-    private var noReuseMs = FIRST_NO_REUSE_MS
-    private var reusableFrom = NEVER
+    private val connectionReuse = ConnectionReuse()
 
     /** True from the end of a pause until a call has been answered. */
     private var isResuming = false
@@ -78,19 +73,13 @@
         isLeaving || now < pausedUntil || callLimit.isBlocked(now) || (isResuming && now < firstCallAt + FIRST_CALL_MS)
 
     /** Returns whether a connection may be used for a further call. */
-    fun mayReuseConnections(now: Long): Boolean = now >= reusableFrom
+    fun mayReuseConnections(now: Long): Boolean = connectionReuse.isPermitted(now)
 
     /**
      * Records that the target has sent bytes that belong to no call, and returns for how long its connections aren't used again, in
      * milliseconds: more such bytes may follow each of its responses.
      */
-    fun recordForeignBytes(now: Long): Long {
-        if (now >= reusableFrom) {
-            reusableFrom = now + noReuseMs
-            noReuseMs = minOf(noReuseMs * NO_REUSE_GROWTH, LONGEST_NO_REUSE_MS)
-        }
-        return reusableFrom - now
-    }
+    fun recordForeignBytes(now: Long): Long = connectionReuse.recordForeignBytes(now)
 
     private companion object {
         /** Far enough in the past, without an overflow when times are added. */
--- /dev/null
+++ b/skylarkstile-http/src/main/kotlin/io/skylarkstile/http/ConnectionReuse.kt
@@ -0,0 +1,31 @@
+/*
+ * Decides whether the connections to a server may carry more than one exchange. A server that has sent bytes beside a response may do so with
+ * each of its responses, and a whole extra response that arrives after the next request can't always be told from the response to it.
+ */
+package io.skylarkstile.http
+
+/** Time without reuse of connections after a server has sent bytes that belong to no exchange, in milliseconds; it grows each further time. */
+private const val FIRST_NO_REUSE_MS = 15_000L
+private const val LONGEST_NO_REUSE_MS = 600_000L
+private const val NO_REUSE_GROWTH = 4L
+
+/** Tracks what one server has sent beside its responses. Not thread-safe. */
+class ConnectionReuse {
+    private var noReuseMs = FIRST_NO_REUSE_MS
+    private var reusableFrom = Long.MIN_VALUE
+
+    /** Returns whether a connection may be used for a further exchange. */
+    fun isPermitted(now: Long): Boolean = now >= reusableFrom
+
+    /**
+     * Records that the server has sent bytes that belong to no exchange, and returns for how long its connections aren't used again, in
+     * milliseconds.
+     */
+    fun recordForeignBytes(now: Long): Long {
+        if (now >= reusableFrom) {
+            reusableFrom = now + noReuseMs
+            noReuseMs = minOf(noReuseMs * NO_REUSE_GROWTH, LONGEST_NO_REUSE_MS)
+        }
+        return reusableFrom - now
+    }
+}
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetResponseDecoder.kt
+++ b/skylarkstile-http/src/main/kotlin/io/skylarkstile/http/ResponseDecoder.kt
@@ -1,21 +1,35 @@
 /*
- * Decodes the responses on a connection to a target. Bytes are decoded only while a response may come, so that a part of a response that
+ * Decodes the responses on a connection to a server. Bytes are decoded only while a response may come, so that a part of a response that
  * arrives too late can't be completed by the next one.
  */
-package io.skylarkstile.gateway.relay
+package io.skylarkstile.http
 
 import io.netty.buffer.ByteBuf
+import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.DecoderResult
+import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
 
 /** Decodes responses, among them those to HEAD requests, and counts their bytes. Runs on the event loop. */
-internal class TargetResponseDecoder : HttpResponseDecoder() {
+class ResponseDecoder(
+    maxLineBytes: Int = DEFAULT_MAX_INITIAL_LINE_LENGTH,
+    maxHeaderBytes: Int = DEFAULT_MAX_HEADER_SIZE,
+    maxChunkBytes: Int = DEFAULT_MAX_CHUNK_SIZE,
+) : HttpResponseDecoder(maxLineBytes, maxHeaderBytes, maxChunkBytes) {
     /** Asked before bytes are decoded; if it returns false, they are dropped. */
     var mayDecode: (ByteBuf) -> Boolean = { true }
     private var isBodyless = false
 
+    /** True from a head that announces chunks to the next head. */
+    private var isChunked = false
+
     /** Number of bytes that have arrived since the last request was sent. */
     var receivedBytes = 0L
         private set
@@ -53,14 +67,44 @@
     ) {
         if (buffer.isReadable && !mayDecode(buffer)) {
             buffer.skipBytes(buffer.readableBytes())
-        } else {
-            super.decode(ctx, buffer, out)
+            return
+        }
+        val start = buffer.readerIndex()
+        val count = out.size
+        super.decode(ctx, buffer, out)
+        val decoded = out.getOrNull(count)
+        if (decoded is HttpMessage) {
+            isChunked = HttpUtil.isTransferEncodingChunked(decoded)
+        } else if (isChunked && (decoded == null || decoded is LastHttpContent)) {
+            if (containsStatusLineStart(buffer.slice(start, buffer.readerIndex() - start))) endMalformed(out, count)
         }
     }
 
+    /**
+     * Ends a response whose chunk sizes or trailers contain the start of another one: the decoder takes it for an extension of the chunk or for
+     * a trailer, and the response would look complete.
+     */
+    private fun endMalformed(
+        out: MutableList<Any>,
+        count: Int,
+    ) {
+        while (out.size > count) ReferenceCountUtil.release(out.removeAt(count))
+        val end = DefaultLastHttpContent(Unpooled.EMPTY_BUFFER)
+        end.decoderResult = DecoderResult.failure(IllegalArgumentException("a status line within the chunks of a response"))
+        out.add(end)
+        isChunked = false
+    }
+
+    private fun containsStatusLineStart(data: ByteBuf): Boolean =
+        data.readableBytes() >= statusLineStart.readableBytes() && ByteBufUtil.indexOf(statusLineStart, data) >= 0
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = isBodyless || super.isContentAlwaysEmpty(message)
 
     /** A response with both framings was made of two, or one of its readers would end it elsewhere. */
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
         throw IllegalArgumentException("both Content-Length and chunked transfer encoding")
+
+    private companion object {
+        val statusLineStart: ByteBuf = Unpooled.unreleasableBuffer(Unpooled.copiedBuffer(STATUS_LINE_START, Charsets.US_ASCII)).asReadOnly()
+    }
 }
