Accept no key when the configuration's list of workspaces is empty

Callers saw: after a version that withdrew the last workspace, routes that aren't public ran calls with withdrawn keys, with keys that never were and without a key.

Cause: the decoder read a missing list, an empty one and one of another type as the same, and the admission took an empty list for "no key is asked for". A missing list is now null, and only that asks for no key.

Ruled out: an outdated configuration (the new version was in force), and running calls: they aren't cut off by any withdrawn key.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/CallAdmission.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/CallAdmission.kt
@@ -106,7 +106,7 @@
         if (route.isPublic) return Admission.Admitted(route, null, 0)
         checkSuspension()
         if (!keyFreshness.isFresh(now)) return Admission.Refused(503, "keys-out-of-date", NOT_READY_RETRY_MS)
-        if (configuration.workspaces.isEmpty()) return Admission.Admitted(route, null, 0)
+        if (configuration.workspaces == null) return Admission.Admitted(route, null, 0)
         val workspace = call.key?.let(configuration::workspaceOrNull) ?: return Admission.Refused(401, "unknown-key", null)
         return Admission.Admitted(route, workspace, 0)
     }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/WorkspaceShares.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/WorkspaceShares.kt
@@ -25,7 +25,11 @@
         configuration: Configuration,
         instances: Int,
     ) {
-        val rated = configuration.workspaces.filter { it.rate != null }.associateBy { it.name }
+        val rated =
+            configuration.workspaces
+                .orEmpty()
+                .filter { it.rate != null }
+                .associateBy { it.name }
         shares.keys.retainAll(rated.keys)
         rated.values.forEach { workspace ->
             val rate = checkNotNull(workspace.rate)
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/Configuration.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/Configuration.kt
@@ -5,18 +5,21 @@
 
 import kotlin.math.floor
 
-/** Holds a complete configuration. [revision] is assigned by the store, [version] by the operator. */
+/**
+ * Holds a complete configuration. [revision] is assigned by the store, [version] by the operator. [workspaces] is null if the configuration
+ * names none, and then no route asks for a key; with an empty list, routes that aren't public ask for a key that nobody has.
+ */
 data class Configuration(
     val revision: Long,
     val version: Long,
     val routes: List<Route>,
     val services: Map<String, Service>,
-    val workspaces: List<Workspace>,
+    val workspaces: List<Workspace>?,
     val limits: CallerLimits,
 ) {
     private val byHost: Map<String, Map<String, Route>> =
         routes.groupBy { it.host }.mapValues { (_, routes) -> routes.associateBy { it.pathPrefix } }
-    private val byKey: Map<String, Workspace> = workspaces.flatMap { w -> w.keys.map { it to w } }.toMap()
+    private val byKey: Map<String, Workspace> = workspaces.orEmpty().flatMap { w -> w.keys.map { it to w } }.toMap()
 
     /** Returns the route of [host] with the longest prefix of [path]. Prefixes begin and end with a slash. */
     fun routeOrNull(
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/Samples.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/Samples.kt
@@ -54,7 +54,7 @@
 
 fun configuration(
     routes: List<Route>,
-    workspaces: List<Workspace> = emptyList(),
+    workspaces: List<Workspace>? = null,
     services: List<Service> = listOf(Service("plain", 100, null)),
     revision: Long = 1,
 ) = Configuration(revision, 1, routes, services.associateBy { it.name }, workspaces, CallerLimits(16_384, 1_048_576, 3_000, 15_000))
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/admission/CallAdmissionSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/admission/CallAdmissionSpec.kt
@@ -64,7 +64,7 @@
         return outcome
     }
 
-    fun admitted() = checkNotNull(shares.shareOrNull(configuration.workspaces.first())).admitted
+    fun admitted() = checkNotNull(shares.shareOrNull(checkNotNull(configuration.workspaces).first())).admitted
 }
 
 class CallAdmissionSpec :
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/model/ConfigurationSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/model/ConfigurationSpec.kt
@@ -85,6 +85,18 @@
             admission.admit(0, call("/a/"), null) shouldBe Admission.Refused(503, "no-configuration", 500)
         }
 
+        // An empty list was taken for none, so all keys were accepted once the last workspace was withdrawn.
+        test("a configuration without workspaces asks for no key, and one with an empty list of them accepts none") {
+            val freshness = Freshness(4_000).apply { confirm(0) }
+            val admission = CallAdmission(WorkspaceShares(QuotaTolerance(0.0, 0.0, 8_000)), freshness)
+            val routes = configuration.routes
+            (admission.admit(0, call("/a/"), configuration(routes, null)) is Admission.Admitted) shouldBe true
+            listOf(null, "key-1", "").forEach { key ->
+                (admission.admit(0, call("/a/", key), configuration(routes, emptyList())) as Admission.Refused).status shouldBe 401
+            }
+            (admission.admit(0, call("/open/x"), configuration(routes, emptyList())) is Admission.Admitted) shouldBe true
+        }
+
         // After a suspension, calls in socket buffers are read before any timer fires, and the monotonic clock hasn't advanced.
         test("a call that waited during a suspension is refused until the keys are known to be up to date again") {
             val freshness = Freshness(4_000)
