--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/CallAdmission.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/CallAdmission.kt
@@ -103,6 +103,7 @@
     ): Admission {
         if (configuration == null) return Admission.Refused(503, "no-configuration", NOT_READY_RETRY_MS)
         val route = configuration.routeOrNull(call.host, call.path) ?: return Admission.Refused(404, "no-route", null)
+        if (route.services.isEmpty()) return Admission.Refused(503, "no-service", NOT_READY_RETRY_MS)
         if (route.isPublic) return Admission.Admitted(route, null, 0)
         checkSuspension()
         if (!keyFreshness.isFresh(now)) return Admission.Refused(503, "keys-out-of-date", NOT_READY_RETRY_MS)
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/StoreListeners.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/StoreListeners.kt
@@ -21,13 +21,17 @@
 
 private val log = KotlinLogging.logger {}
 
-/** Passes each configuration that is newer than the last one to [apply], and confirmations to [confirm]. */
+/**
+ * Passes each configuration that is newer than the last one to [apply], and confirmations to [confirm]. While the newest one can't be used,
+ * nothing is confirmed, since it may have withdrawn keys that the one in force has.
+ */
 internal class ConfigurationListener(
     private val records: RecordDecoder,
     private val confirm: (at: Long, requestedAt: Long) -> Unit,
     private val apply: (Configuration, Long) -> Unit,
 ) : StoreListener {
     private var revision = -1L
+    private var isNewestUnusable = false
 
     override fun onListed(
         page: StorePage,
@@ -45,7 +49,9 @@
         at: Long,
         requestedAt: Long,
         revision: Long,
-    ) = confirm(at, requestedAt)
+    ) {
+        if (!isNewestUnusable) confirm(at, requestedAt)
+    }
 
     private fun read(
         item: StoredObject,
@@ -54,8 +60,11 @@
         if (item.spec == null || item.revision <= revision) return
         records
             .configuration(item)
-            .onFailure { log.event(Level.ERROR, "configuration-unusable", "revision" to item.revision) { it } }
-            .onSuccess { configuration ->
+            .onFailure {
+                isNewestUnusable = true
+                log.event(Level.ERROR, "configuration-unusable", "revision" to item.revision) { it }
+            }.onSuccess { configuration ->
+                isNewestUnusable = false
                 revision = item.revision
                 apply(configuration, now)
                 log.event(Level.INFO, "configuration-in-force", "configuration" to configuration.version, "revision" to item.revision) {
