--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/CallAdmission.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/admission/CallAdmission.kt
@@ -103,10 +103,11 @@
     ): Admission {
         if (configuration == null) return Admission.Refused(503, "no-configuration", NOT_READY_RETRY_MS)
         val route = configuration.routeOrNull(call.host, call.path) ?: return Admission.Refused(404, "no-route", null)
+        if (route.services.isEmpty()) return Admission.Refused(503, "no-service", NOT_READY_RETRY_MS)
         if (route.isPublic) return Admission.Admitted(route, null, 0)
         checkSuspension()
         if (!keyFreshness.isFresh(now)) return Admission.Refused(503, "keys-out-of-date", NOT_READY_RETRY_MS)
-        if (configuration.workspaces.isEmpty()) return Admission.Admitted(route, null, 0)
+        if (configuration.workspaces == null) return Admission.Admitted(route, null, 0)
         val workspace = call.key?.let(configuration::workspaceOrNull) ?: return Admission.Refused(401, "unknown-key", null)
         return Admission.Admitted(route, workspace, 0)
     }
