Let no call of the HTTP client get a response that isn't its own from what was left on its connection

The client of the entry process and the tools uses kept connections for calls that may be repeated. In the new test the response 409 to such a call was returned as 200, joined from the start of a copy of the earlier response and the whole next one, and a left-over response was returned for the next call.

HttpClientCodec decodes at any time, and the head was passed on before what arrived with it was known.

Ruled out: calls that may run once, since they never use a connection again. A length beside chunks and repeated lengths failed before, too.

Evidence: HttpClientReuseSpec, 9 of its 12 cases failed before and all pass now, over copies that end after each byte, on the idle connection and just before the next response, with a length and in chunks. HttpClientSpec, HttpServerSpec and HttpObjectStoreSpec pass.

The client uses the decoder of skylarkstile-http: bytes are decoded only while a call is in flight, and others end the connection. Head and end of a response are passed on at the end of the read that brought them; bytes behind a response on a reused connection fail it, and it is repeated on a new one if its head came in the same read. A server that sent such bytes gets one call on each connection for 15 s, four times as long each further time, up to 10 min.

What remains: a whole extra response that arrives alone, after the next request on a reused connection, is taken for the response to it.

--- a/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/NettyHttpClient.kt
+++ b/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/NettyHttpClient.kt
@@ -1,11 +1,15 @@
 /*
- * The Netty implementation of [HttpClient], with one pool of idle connections per address.
+ * The Netty implementation of [HttpClient], with one pool of idle connections per address. Responses name no request: a server that is seen to
+ * respond twice gets one request on each connection for a while. A whole extra response that arrives alone and after the next request is taken
+ * for the response to it, once, until the one that is left over ends the connection.
  */
 package io.skylarkstile.transport.http
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.Unpooled
 import io.netty.channel.AdaptiveRecvByteBufAllocator
@@ -15,11 +19,14 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import io.skylarkstile.config.log.event
+import io.skylarkstile.http.ConnectionReuse
+import io.skylarkstile.http.ResponseDecoder
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.flow.Flow
@@ -29,6 +36,8 @@
 import java.util.concurrent.ConcurrentLinkedDeque
 import java.util.concurrent.atomic.AtomicLong
 
+private val log = KotlinLogging.logger {}
+
 /**
  * Creates a client whose connection attempts time out after [connectTimeoutMs] milliseconds. While more than [readAheadBytes] bytes of
  * responses are buffered over all calls, a call reads from its connection only when its collector has consumed everything.
@@ -57,6 +66,9 @@
 ) : HttpClient {
     private val idle = ConcurrentHashMap<String, ConcurrentLinkedDeque<ClientConnection>>()
 
+    /** Holds the servers that have sent bytes that belong to no call. */
+    private val reuse = ConcurrentHashMap<String, ConnectionReuse>()
+
     @Volatile
     private var closed = false
 
@@ -70,10 +82,8 @@
             .handler(
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
-                        channel.pipeline().addLast(
-                            HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
-                            ClientConnection(channel, readAhead),
-                        )
+                        val decoder = ResponseDecoder(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES)
+                        channel.pipeline().addLast(HttpRequestEncoder(), decoder, ClientConnection(channel, readAhead, decoder))
                     }
                 },
             )
@@ -206,14 +216,39 @@
             future.channel().close()
             throw e
         }
-        return future.channel().pipeline().get(ClientConnection::class.java)
+        val connection = future.channel().pipeline().get(ClientConnection::class.java)
+        connection.onForeignBytes = { foreignBytesReceived(address, it) }
+        return connection
     }
 
+    private fun foreignBytesReceived(
+        address: String,
+        reason: String,
+    ) {
+        val known = reuse.computeIfAbsent(address) { ConnectionReuse() }
+        val noReuseMs = synchronized(known) { known.recordForeignBytes(nowMs()) }
+        log.event(Level.INFO, "client-foreign-bytes", "address" to address, "noReuseMs" to noReuseMs, "reason" to reason) {
+            "server sent bytes that belong to no call"
+        }
+    }
+
+    private fun mayReuse(
+        address: String,
+        now: Long,
+    ): Boolean {
+        val known = reuse[address] ?: return true
+        return synchronized(known) { known.isPermitted(now) }
+    }
+
+    private fun nowMs() = System.nanoTime() / NANOS_PER_MS
+
     private fun idleConnectionOrNull(address: String): ClientConnection? {
         val queue = idle[address] ?: return null
+        val mayReuse = mayReuse(address, nowMs())
         while (true) {
             val c = queue.pollLast() ?: return null
-            if (c.channel.isActive) return c
+            if (mayReuse && c.channel.isActive) return c
+            c.channel.close()
         }
     }
 
@@ -222,7 +257,7 @@
         connection: ClientConnection,
     ) {
         val queue = idle.computeIfAbsent(address) { ConcurrentLinkedDeque() }
-        if (closed || !connection.channel.isActive || queue.size >= MAX_IDLE_PER_ADDRESS) {
+        if (closed || !connection.channel.isActive || queue.size >= MAX_IDLE_PER_ADDRESS || !mayReuse(address, nowMs())) {
             connection.channel.close()
             return
         }
