Search the bytes of a response's head for a second status line

The decoder drops what stands between the name of a header and its colon: the start of a second response that ends behind a name and a space hid the status line of the next call's failure, and its caller got status 200. The bytes of the head are searched now, in the decoder that all clients share. A header that quotes a status line still fails its response, on new connections, too: it can't be told from a head that was made of two.

A connection that ends inside a head is reported as ended again, so that the calls that crash targets are counted. A call's response is looked for in an incomplete other response as long as the call waits, on connections in use again only.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -222,14 +222,20 @@
             }
     }
 
-    /** Fails the call if its response may lie in an incomplete response to another call, of which nothing more arrives. */
-    private fun watchOtherResponse(started: Attempt) {
-        val connection = started.connection?.takeIf { it.isInsideOtherResponse } ?: return
+    /**
+     * Fails the call once its response may lie in an incomplete response to another call, of which nothing has arrived since [receivedBefore]
+     * bytes.
+     */
+    private fun watchOtherResponse(
+        started: Attempt,
+        receivedBefore: Long? = null,
+    ) {
+        val connection = started.connection ?: return
         val received = connection.receivedBytes
+        if (connection.isInsideOtherResponse && received == receivedBefore) return failed(started, "other response incomplete")
         responseTimer =
             serving.scheduler.after(MIN_RESPONSE_TIMEOUT_MS) {
-                if (attempt !== started || started.isOver || started.head != null) return@after
-                if (connection.receivedBytes > received) watchOtherResponse(started) else failed(started, "other response incomplete")
+                if (attempt === started && !started.isOver && started.head == null) watchOtherResponse(started, received)
             }
     }
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetConnection.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetConnection.kt
@@ -10,12 +10,14 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.socket.DuplexChannel
+import io.netty.handler.codec.PrematureChannelClosureException
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpRequest
 import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
@@ -105,7 +107,7 @@
      * cut off what it sent before.
      */
     val isInsideOtherResponse: Boolean
-        get() = (state as? ExchangeState.AwaitingResponse)?.let { it.isSkipping || decoder.hasUndecidedBytes } == true
+        get() = callCount > 1 && (state as? ExchangeState.AwaitingResponse)?.let { it.isSkipping || decoder.hasUndecidedBytes } == true
 
     /** Number of bytes that have arrived since the request was sent. */
     val receivedBytes: Long get() = decoder.receivedBytes
@@ -170,7 +172,7 @@
     }
 
     private fun head(response: HttpResponse) {
-        if (state == ExchangeState.Ended) return
+        if (state == ExchangeState.Ended || hasBrokenOff(response)) return
         (state as? ExchangeState.HoldingRefusal)?.let(::skipRefusal)
         val awaiting = state as? ExchangeState.AwaitingResponse ?: return leaveStep("a response without a call")
         val head = codec.readResponse(response)
@@ -250,8 +252,11 @@
         leaveStep("more than $MAX_SKIPPED_BYTES bytes that belong to no response to this call")
     }
 
+    /** Returns whether the connection has ended inside [part]: its listener is told so when the connection is closed. */
+    private fun hasBrokenOff(part: HttpObject): Boolean = part.decoderResult().cause() is PrematureChannelClosureException
+
     private fun content(part: HttpContent) {
-        if (state == ExchangeState.Ended) return
+        if (state == ExchangeState.Ended || hasBrokenOff(part)) return
         if (part.decoderResult().isFailure) return leaveStep("malformed body")
         when (val current = state) {
             is ExchangeState.AwaitingResponse -> skipContent(current, part)
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/relay/ResponseHeadSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/relay/ResponseHeadSpec.kt
@@ -20,6 +20,7 @@
 import io.skylarkstile.gateway.model.CallHead
 import io.skylarkstile.gateway.model.Dispatch
 import io.skylarkstile.gateway.model.ResponseHead
+import io.skylarkstile.http.ResponseDecoder
 
 private const val CALL_ID = "X-Attempt-Id"
 
@@ -88,13 +89,13 @@
 
 /** Sends one call after the other on a connection, and passes the response to each on to it; returns what became of the last one. */
 private fun outcomeOf(vararg responses: String): RecordedResponse {
-    val decoder = TargetResponseDecoder()
+    val decoder = ResponseDecoder()
     val connection = TargetConnection(IdCodec, decoder)
     val channel = EmbeddedChannel(HttpRequestEncoder(), decoder, ResponseEndHandler(), connection)
     val recorded =
         responses.mapIndexed { number, response ->
             RecordedResponse().also {
-                connection.send("c-$number", HttpMethod.POST, "/", DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER, it)
+                connection.send("c-$number", HttpMethod.POST, "/", DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER, false, it)
                 channel.writeInbound(Unpooled.copiedBuffer(response, Charsets.ISO_8859_1))
             }
         }
@@ -111,9 +112,11 @@
             (outcome.status == 200 && outcome.isComplete) shouldBe false
         }
 
-        // A response whose header quoted the status line of another one was rejected, also as the first one on its connection.
-        test("a response on a new connection with a header that quotes a status line is passed on") {
-            outcomeOf(responseTo("c-0", "200 OK", "X-Cause: sent HTTP/1.1 500 Internal Server Error before")).isComplete shouldBe true
+        // A head with a status line in a header can't be told from one that was made of two, also as the first one on its connection.
+        test("a head with a second status line in a header isn't passed on, also on a new connection") {
+            val outcome = outcomeOf("HTTP/1.1 200 OK\r\nX-Cause: " + responseTo("c-0", "500 Internal Server Error"))
+            outcome.status shouldBe null
+            outcome.end.orEmpty() shouldStartWith "out of step"
         }
 
         // A target that crashed inside a head wasn't counted among those that a call has ended.
--- a/skylarkstile-http/src/main/kotlin/io/skylarkstile/http/ResponseDecoder.kt
+++ b/skylarkstile-http/src/main/kotlin/io/skylarkstile/http/ResponseDecoder.kt
@@ -30,6 +30,11 @@
     /** True from a head that announces chunks to the next head. */
     private var isChunked = false
 
+    private var isInsideHead = true
+
+    /** Number of status lines, or parts of lines that look like one, in the head that is read. */
+    private var statusLines = 0
+
     /** Number of bytes that have arrived since the last request was sent. */
     var receivedBytes = 0L
         private set
@@ -73,11 +78,51 @@
         val count = out.size
         super.decode(ctx, buffer, out)
         val decoded = out.getOrNull(count)
+        if (isInsideHead) statusLines += statusLinesIn(buffer, start)
         if (decoded is HttpMessage) {
             isChunked = HttpUtil.isTransferEncodingChunked(decoded)
+            endHead(decoded)
         } else if (isChunked && (decoded == null || decoded is LastHttpContent)) {
             if (containsStatusLineStart(buffer.slice(start, buffer.readerIndex() - start))) endMalformed(out, count)
         }
+        if (out.lastOrNull() is LastHttpContent) isInsideHead = true
+    }
+
+    /**
+     * Fails a head with more than one status line: the start of a response that was cut off is followed by the whole head of the next one. The
+     * bytes are searched, since the decoder drops what stands between the name of a header and its colon. A header that quotes a status line
+     * fails, too: it can't be told from such a head.
+     */
+    private fun endHead(head: HttpMessage) {
+        if (statusLines > 1) head.decoderResult = DecoderResult.failure(IllegalArgumentException("two status lines in a head"))
+        statusLines = 0
+        isInsideHead = false
+    }
+
+    private fun statusLinesIn(
+        buffer: ByteBuf,
+        start: Int,
+    ): Int {
+        var count = 0
+        var index = start
+        while (true) {
+            index = buffer.indexOf(index, buffer.readerIndex(), STATUS_LINE_FIRST)
+            if (index < 0) return count
+            if (isStatusLineAt(buffer, index)) count++
+            index++
+        }
+    }
+
+    /** Returns whether `HTTP/1.`, a digit, a space and three digits stand at [index]. */
+    private fun isStatusLineAt(
+        buffer: ByteBuf,
+        index: Int,
+    ): Boolean {
+        if (index + STATUS_LINE_PATTERN.length > buffer.readerIndex()) return false
+        return STATUS_LINE_PATTERN.indices.all { offset ->
+            val char = buffer.getByte(index + offset).toInt().toChar()
+            if (STATUS_LINE_PATTERN[offset] == ANY_DIGIT) char in '0'..'9' else char == STATUS_LINE_PATTERN[offset]
+        }
     }
 
     /**
@@ -105,6 +150,9 @@
         throw IllegalArgumentException("both Content-Length and chunked transfer encoding")
 
     private companion object {
+        const val ANY_DIGIT = '#'
+        const val STATUS_LINE_PATTERN = "HTTP/1.# ###"
+        const val STATUS_LINE_FIRST = 'H'.code.toByte()
         val statusLineStart: ByteBuf = Unpooled.unreleasableBuffer(Unpooled.copiedBuffer(STATUS_LINE_START, Charsets.US_ASCII)).asReadOnly()
     }
 }
