Don't take a refusal without an id for the answer to a call that may run once while more may follow

Cause: a target that has answered a call may send a refusal without an id beside that answer, at the point where the next answer is expected. On a connection in use again it was taken for the answer to the call in flight, because sound targets send refusals without an id too. The call ran at that target, and was sent to another one or refused.

Evidence: LateRefusalSpec failed in 8 of 10 cases before and passes now. Both effects show: calls run by two or three targets with 200 of the last one, and refusals of calls that a target answered with 404. A refusal at the connection's idle time was ruled out: such bytes close the connection.

Now a refusal without an id on a connection in use again is held for 50 ms if its call may run once. If another head or a part of one follows, the refusal belonged to an earlier call: it is reported as foreign bytes, the connection takes no further call, and the own answer is waited for. A second refusal without an id, or a reset, fails the call instead (502, no promise). If nothing follows, or the target closes the connection after it, it is the answer. Refusals with the call's id, on a new connection, or of calls that may be repeated are acted on at once as before.

Cost: a sound refusal without an id of a call that may run once, on a kept connection that stays open, is acted on 50 ms later; the time is that of the constant and wasn't measured under load. What remains: a call that runs longer than 50 ms at a target that sends such a refusal is still taken for refused.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -201,7 +201,8 @@
                 adapterVersion = started.adapter?.version?.takeIf { call.adapter in serving.adapterVersions },
                 lastEventId = relay.lastEventId ?: call.lastEventId,
             )
-        connection.send(call.id, call.method, call.uri, serving.codec.targetHeaders(call, dispatch), body.retainedDuplicate(), this)
+        val headers = serving.codec.targetHeaders(call, dispatch)
+        connection.send(call.id, call.method, call.uri, headers, body.retainedDuplicate(), route.isRepeatable, this)
         watchForResponse(started)
     }
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/ExchangeState.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/ExchangeState.kt
@@ -18,6 +18,22 @@
     ) : ExchangeState {
         /** True from the head of a response that is skipped to its end. */
         var isSkipping = false
+
+        /** True once a refusal without a call id has been skipped. */
+        var hasSkippedRefusal = false
+    }
+
+    /**
+     * A refusal without a call id has arrived on a connection in use again. It may be a second response to an earlier call, so that the target
+     * runs the call in flight; it isn't acted on until it is known what follows it.
+     */
+    class HoldingRefusal(
+        val listener: ResponseListener,
+        val head: ResponseHead,
+        val response: HttpResponse,
+    ) : ExchangeState {
+        /** True once the refusal has arrived as a whole. */
+        var isComplete = false
     }
 
     /** The response to the call in flight has begun. */
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetConnection.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetConnection.kt
@@ -23,6 +23,7 @@
 import io.netty.util.ReferenceCountUtil
 import io.skylarkstile.gateway.model.ResponseHead
 import io.skylarkstile.gateway.target.TargetState
+import java.util.concurrent.TimeUnit
 
 /** Receives the response to one call. */
 interface ResponseListener {
@@ -64,6 +65,15 @@
  */
 private const val MAX_SKIPPED_BYTES = 1024 * 1024
 
+/**
+ * Time in milliseconds for which a refusal that can't be attributed is held before it is acted on. A target that has written it beside the
+ * response to an earlier call sends the response to the call in flight within this time, unless it runs longer.
+ */
+private const val REFUSAL_HOLD_MS = 50L
+
+/** Maximum number of bytes that are read of a refusal while it is held. */
+private const val MAX_HELD_BYTES = 65_536
+
 /** Bytes of foreign data that a log line shows: enough for a status line and an id. */
 private const val MAX_LOGGED_BYTES = 96
 
@@ -79,6 +89,7 @@
     private var requestWritten: ChannelFuture? = null
     private var callCount = 0
     private var endsAfterResponse = false
+    private var isRepeatable = true
     private var failure: String? = null
 
     /** Target whose call is or was last in flight. */
@@ -111,16 +122,18 @@
         return state != ExchangeState.Ended
     }
 
-    /** Sends one request; its response goes to [listener]. */
+    /** Sends one request; its response goes to [listener]. A call that isn't [isRepeatable] is refused only if it certainly wasn't run. */
     fun send(
         callId: String,
         method: HttpMethod,
         uri: String,
         headers: HttpHeaders,
         body: ByteBuf,
+        isRepeatable: Boolean,
         listener: ResponseListener,
     ) {
         this.callId = callId
+        this.isRepeatable = isRepeatable
         state = ExchangeState.AwaitingResponse(listener)
         callCount++
         decoder.requestSent(method)
@@ -160,6 +173,7 @@
 
     private fun head(response: HttpResponse) {
         if (state == ExchangeState.Ended) return
+        (state as? ExchangeState.HoldingRefusal)?.let(::skipRefusal)
         val awaiting = state as? ExchangeState.AwaitingResponse ?: return leaveStep("a response without a call")
         val head = codec.readResponse(response)
         val fault = headFaultOrNull(response, head)
@@ -167,12 +181,43 @@
             fault != null -> leaveStep(fault)
             head.status < FIRST_FINAL_STATUS -> awaiting.isSkipping = true
             head.callId != null && head.callId != callId -> skip(awaiting, head)
-            mayAnswerEarlierCall(head) -> leaveStep("response without call id on a reused connection")
-            else -> begin(awaiting.listener, head, response)
+            !mayAnswerEarlierCall(head) -> begin(awaiting.listener, head, response)
+            !head.isNotExecuted || awaiting.hasSkippedRefusal -> leaveStep("response without call id on a reused connection")
+            isRepeatable -> begin(awaiting.listener, head, response)
+            else -> hold(awaiting.listener, head, response)
         }
         limitSkipping()
     }
 
+    /** Waits for what follows a refusal that may belong to an earlier call: it is taken for the response if nothing does. */
+    private fun hold(
+        listener: ResponseListener,
+        head: ResponseHead,
+        response: HttpResponse,
+    ) {
+        val held = ExchangeState.HoldingRefusal(listener, head, response)
+        state = held
+        channel.eventLoop().schedule({ holdEnded(held) }, REFUSAL_HOLD_MS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun holdEnded(held: ExchangeState.HoldingRefusal) {
+        if (state !== held) return
+        if (held.isComplete && decoder.hasUndecidedBytes) skipRefusal(held) else acceptRefusal(held)
+    }
+
+    private fun acceptRefusal(held: ExchangeState.HoldingRefusal) {
+        begin(held.listener, held.head, held.response)
+        val current = state as? ExchangeState.Responding ?: return
+        if (held.isComplete) finish(current)
+    }
+
+    /** Goes on waiting for the response to the call in flight, since more follows the refusal: it belonged to an earlier call. */
+    private fun skipRefusal(held: ExchangeState.HoldingRefusal) {
+        reportForeignBytes("status ${held.head.status} without call id before another response")
+        endsAfterResponse = true
+        state = ExchangeState.AwaitingResponse(held.listener).apply { hasSkippedRefusal = true }
+    }
+
     private fun begin(
         listener: ResponseListener,
         head: ResponseHead,
@@ -196,9 +241,9 @@
 
     /**
      * Returns whether a response may belong to an earlier call on this connection: a target may respond twice, and a response without a call id
-     * cannot be attributed. Refusals often have none, but they end their connection, so one on a reused connection is the first there.
+     * cannot be attributed.
      */
-    private fun mayAnswerEarlierCall(head: ResponseHead): Boolean = callCount > 1 && head.callId == null && !head.isNotExecuted
+    private fun mayAnswerEarlierCall(head: ResponseHead): Boolean = callCount > 1 && head.callId == null
 
     /** Gives the connection of a target up that sends responses to other calls without end. */
     private fun limitSkipping() {
@@ -212,6 +257,7 @@
         if (part.decoderResult().isFailure) return leaveStep("malformed body")
         when (val current = state) {
             is ExchangeState.AwaitingResponse -> skipContent(current, part)
+            is ExchangeState.HoldingRefusal -> holdContent(current, part)
             is ExchangeState.Responding -> respond(current, part)
             else -> Unit
         }
@@ -228,6 +274,18 @@
         limitSkipping()
     }
 
+    private fun holdContent(
+        held: ExchangeState.HoldingRefusal,
+        part: HttpContent,
+    ) {
+        if (part !is LastHttpContent) {
+            if (decoder.receivedBytes > MAX_HELD_BYTES) acceptRefusal(held)
+            return
+        }
+        held.isComplete = true
+        decoder.responseSkipped()
+    }
+
     private fun respond(
         current: ExchangeState.Responding,
         part: HttpContent,
@@ -263,6 +321,7 @@
 
     private fun listenerOrNull(): ResponseListener? = when (val current = state) {
         is ExchangeState.AwaitingResponse -> current.listener
+        is ExchangeState.HoldingRefusal -> current.listener
         is ExchangeState.Responding -> current.listener
         else -> null
     }
@@ -281,6 +340,9 @@
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
+        // Nothing follows a refusal after which the target has closed the connection; a reset may have come between.
+        val held = state as? ExchangeState.HoldingRefusal
+        if (held != null && held.isComplete && failure == null && !decoder.hasUndecidedBytes) return acceptRefusal(held)
         val listener = listenerOrNull()
         state = ExchangeState.Ended
         listener?.disconnected(failure ?: closedReason())
