Take no refusal without an id for the answer after a response to another call

A call that may run once got 503 on a connection in use again when its target sent a response to another call and then a refusal without an id: the refusal was held for 50 ms and then acted on, though the target had just shown that it responds more than once.

Now such a refusal fails the call with 502, which promises nothing. Calls that may be repeated are sent to another target as before.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/ExchangeState.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/ExchangeState.kt
@@ -19,8 +19,8 @@
         /** True from the head of a response that is skipped to its end. */
         var isSkipping = false
 
-        /** True once a refusal without a call id has been skipped. */
-        var hasSkippedRefusal = false
+        /** True once a response to another call has been skipped: the target responds more than once. */
+        var hasSkippedResponse = false
     }
 
     /**
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetConnection.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetConnection.kt
@@ -182,8 +182,8 @@
             head.status < FIRST_FINAL_STATUS -> awaiting.isSkipping = true
             head.callId != null && head.callId != callId -> skip(awaiting, head)
             !mayAnswerEarlierCall(head) -> begin(awaiting.listener, head, response)
-            !head.isNotExecuted || awaiting.hasSkippedRefusal -> leaveStep("response without call id on a reused connection")
-            isRepeatable -> begin(awaiting.listener, head, response)
+            head.isNotExecuted && isRepeatable -> begin(awaiting.listener, head, response)
+            !head.isNotExecuted || awaiting.hasSkippedResponse -> leaveStep("response without call id on a reused connection")
             else -> hold(awaiting.listener, head, response)
         }
         limitSkipping()
@@ -215,7 +215,7 @@
     private fun skipRefusal(held: ExchangeState.HoldingRefusal) {
         reportForeignBytes("status ${held.head.status} without call id before another response")
         endsAfterResponse = true
-        state = ExchangeState.AwaitingResponse(held.listener).apply { hasSkippedRefusal = true }
+        state = ExchangeState.AwaitingResponse(held.listener).apply { hasSkippedResponse = true }
     }
 
     private fun begin(
@@ -237,6 +237,7 @@
         awaiting.isSkipping = true
         endsAfterResponse = true
         reportForeignBytes("status ${head.status} to call ${head.callId}")
+        awaiting.hasSkippedResponse = true
     }
 
     /**
