--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetConnection.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetConnection.kt
@@ -74,6 +74,9 @@
  */
 private const val REFUSAL_HOLD_MS = 50L
 
+/** Maximum number of bytes that are read of a refusal while it is held. */
+private const val MAX_HELD_BYTES = 65_536
+
 /** Bytes of foreign data that a log line shows: enough for a status line and an id. */
 private const val MAX_LOGGED_BYTES = 96
 
@@ -182,8 +185,8 @@
             head.status < FIRST_FINAL_STATUS -> awaiting.isSkipping = true
             head.callId != null && head.callId != callId -> skip(awaiting, head)
             !mayAnswerEarlierCall(head) -> begin(awaiting.listener, head, response)
-            !head.isNotExecuted || awaiting.hasSkippedRefusal -> leaveStep("response without call id on a reused connection")
-            isRepeatable -> begin(awaiting.listener, head, response)
+            head.isNotExecuted && isRepeatable -> begin(awaiting.listener, head, response)
+            !head.isNotExecuted || awaiting.hasSkippedResponse -> leaveStep("response without call id on a reused connection")
             else -> hold(awaiting.listener, head, response)
         }
         limitSkipping()
@@ -215,7 +218,7 @@
     private fun skipRefusal(held: ExchangeState.HoldingRefusal) {
         reportForeignBytes("status ${held.head.status} without call id before another response")
         endsAfterResponse = true
-        state = ExchangeState.AwaitingResponse(held.listener).apply { hasSkippedRefusal = true }
+        state = ExchangeState.AwaitingResponse(held.listener).apply { hasSkippedResponse = true }
     }
 
     private fun begin(
@@ -236,7 +239,9 @@
     ) {
         awaiting.isSkipping = true
         endsAfterResponse = true
-        reportForeignBytes("status ${head.status} to call ${head.callId}")
+        // A faulty target may send thousands of them.
+        if (!awaiting.hasSkippedResponse) reportForeignBytes("status ${head.status} to call ${head.callId}")
+        awaiting.hasSkippedResponse = true
     }
 
     /**
@@ -281,7 +286,10 @@
         held: ExchangeState.HoldingRefusal,
         part: HttpContent,
     ) {
-        if (part !is LastHttpContent) return
+        if (part !is LastHttpContent) {
+            if (decoder.receivedBytes > MAX_HELD_BYTES) acceptRefusal(held)
+            return
+        }
         held.isComplete = true
         decoder.responseSkipped()
     }
