Pass nothing of a response to its caller on once it is finished

Cause: ResponseWriter doesn't know whether its response has begun or is finished. A second head within a response, bytes beyond the announced length and a response that ends before it would all reach the caller, who reads them as the next response or the next one as the rest.

ResponseGuard holds the state of one response. A finished one passes nothing on; within one, a refusal, a second head or a body of another length closes the connection. Each is logged once a call as response-violation.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
@@ -145,7 +145,7 @@
         isBusy = true
         if (serving.isRefusingCalls) {
             content.release()
-            return ResponseWriter(call).refuse(SERVICE_UNAVAILABLE, "leaving", SHUTDOWN_RETRY_AFTER_MS)
+            return responseTo(call).refuse(SERVICE_UNAVAILABLE, "leaving", SHUTDOWN_RETRY_AFTER_MS)
         }
         val admission = serving.admission.admit(arrivedAt, call, serving.configuration)
         if (admission is Admission.PendingTokens) {
@@ -173,11 +173,11 @@
         when (admission) {
             is Admission.Refused -> {
                 logRefusal(call, admission)
-                ResponseWriter(call).refuse(admission.status, admission.reason, admission.retryAfterMs)
+                responseTo(call).refuse(admission.status, admission.reason, admission.retryAfterMs)
             }
 
             is Admission.Admitted -> {
-                val started = CallRun(serving, ResponseWriter(call), call, content, admission, serviceOf(admission), arrivedAt)
+                val started = CallRun(serving, responseTo(call), call, content, admission, serviceOf(admission), arrivedAt)
                 run = started
                 started.start()
             }
@@ -186,6 +186,8 @@
         }
     }
 
+    private fun responseTo(call: CallHead): CallerResponse = ResponseGuard(call, ResponseWriter(call))
+
     private fun logRefusal(
         call: CallHead,
         refused: Admission.Refused,
