Send no last chunk after the response to a HEAD request

On a kept connection, the response to a HEAD request without a length was followed by "0\r\n\r\n", which the caller reads as the start of the next response.

Cause: a response without a length was announced as chunked, and the encoder of a caller's connection doesn't know the request, so it wrote the last chunk although the response has no body.

Evidence: CallerConnectionSpec, "the response to a HEAD request without a length has no body", failed before ("expected HTTP/1.1 200 OK but was 0") and passes now. Its other cases (pipelined requests, also refused ones; bytes behind a request; a response that breaks off) passed before.

Such a response is now sent without a transfer encoding.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -283,7 +284,6 @@
     private inner class ResponseWriter(
         private val call: CallHead,
     ) : CallerResponse {
-        private var isChunked = false
         override val isWritable: Boolean get() = ctx.channel().isWritable
 
         override fun refuse(
@@ -307,8 +307,8 @@
             val answer = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus(status, reasonPhrase), headers)
             if (contentLength != null) {
                 headers.set(HttpHeaderNames.CONTENT_LENGTH, contentLength)
-            } else {
-                isChunked = true
+            } else if (call.method != HttpMethod.HEAD) {
+                // The encoder doesn't know the request: with chunks it would send the last one after the head, before the next response.
                 HttpUtil.setTransferEncodingChunked(answer, true)
             }
             setConnectionHeader(headers)
