Send no last chunk after the response to a HEAD request of the entry process's callers

What callers saw: nothing is shown in the record.

Cause: such a response was announced as chunked, and its end was written as a chunk.

Evidence: HttpServerSpec, "the response to a HEAD request without a length has no body", failed before ("0" in place of the next status line) and passes now. Ruled out by new cases that passed before: pipelined requests whose responses change places, and bytes behind a response that ends early.

Such a response is now sent without a transfer encoding, and its connection is kept.

--- a/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/ServerConnection.kt
+++ b/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/ServerConnection.kt
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
@@ -264,16 +265,18 @@
         answer: HttpAnswer,
     ) {
         val keepAlive = HttpUtil.isKeepAlive(request) && !server.draining
-        val chunked = answer.length == null && request.protocolVersion() == HttpVersion.HTTP_1_1
+        val hasBody = request.method() != HttpMethod.HEAD
+        // With chunks, the response to a HEAD request would be followed by the last one, before the next response.
+        val chunked = hasBody && answer.length == null && request.protocolVersion() == HttpVersion.HTTP_1_1
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status))
         answer.headers.fields.forEach { (name, value) -> response.headers().add(name, value) }
         answer.length?.let { HttpUtil.setContentLength(response, it) }
         if (chunked) HttpUtil.setTransferEncodingChunked(response, true)
-        val close = !keepAlive || (answer.length == null && !chunked)
+        val close = !keepAlive || (hasBody && answer.length == null && !chunked)
         if (close) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         channel.write(response)
         if (answer.length == null) channel.flush()
-        if (request.method().name() != "HEAD") answer.body.collect { withWriteTimeout { send(it) } }
+        if (hasBody) answer.body.collect { withWriteTimeout { send(it) } }
         withWriteTimeout { channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).awaitDone() }
         if (close) channel.close()
     }
--- a/skylarkstile-transport/src/test/kotlin/io/skylarkstile/transport/http/HttpServerSpec.kt
+++ b/skylarkstile-transport/src/test/kotlin/io/skylarkstile/transport/http/HttpServerSpec.kt
@@ -213,6 +213,24 @@
             Regex("HTTP/1.1 (\\d+)").findAll(answers).map { it.groupValues[1] }.toList() shouldBe listOf("200", "200", "400")
         }
 
+        test("pipelined requests get their own responses in their order") {
+            val bodies = List(12) { "body-$it" }
+            val requests = bodies.joinToString("") { "POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: ${it.length}\r\n\r\n$it" }
+            val answers = raw(requests + "GET /none HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            Regex("body-\\d+").findAll(answers).map { it.value }.toList() shouldBe bodies
+            Regex("HTTP/1.1 (\\d+)").findAll(answers).map { it.groupValues[1] }.toList() shouldBe List(12) { "200" } + "404"
+        }
+
+        test("nothing follows a response that ends early") {
+            val answers = raw("GET /broken HTTP/1.1\r\nHost: x\r\n\r\nPOST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nother")
+            answers.substringAfter("\r\n\r\n") shouldBe "4\r\nhalf\r\n"
+        }
+
+        test("the response to a HEAD request without a length has no body") {
+            val answers = raw("HEAD /stream HTTP/1.1\r\nHost: x\r\n\r\nGET /none HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            answers.substringAfter("\r\n\r\n") shouldStartWith "HTTP/1.1 404"
+        }
+
         test("drains without interrupting a running response") {
             val other = httpServer("127.0.0.1:0") { wholeAnswer(200, "text/plain", "done".toByteArray()).also { delay(300) } }
             val result = CompletableDeferred<String>()
