--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -189,7 +190,7 @@
         isBusy = true
         if (serving.isRefusingCalls) {
             content.release()
-            return ResponseWriter(call).refuse(SERVICE_UNAVAILABLE, "leaving", SHUTDOWN_RETRY_AFTER_MS)
+            return responseTo(call).refuse(SERVICE_UNAVAILABLE, "leaving", SHUTDOWN_RETRY_AFTER_MS)
         }
         val admission = serving.admission.admit(arrivedAt, call, serving.configuration)
         if (admission is Admission.PendingTokens) {
@@ -217,11 +218,11 @@
         when (admission) {
             is Admission.Refused -> {
                 logRefusal(call, admission)
-                ResponseWriter(call).refuse(admission.status, admission.reason, admission.retryAfterMs)
+                responseTo(call).refuse(admission.status, admission.reason, admission.retryAfterMs)
             }
 
             is Admission.Admitted -> {
-                val started = CallRun(serving, ResponseWriter(call), call, content, admission, serviceOf(admission), arrivedAt)
+                val started = CallRun(serving, responseTo(call), call, content, admission, serviceOf(admission), arrivedAt)
                 run = started
                 started.start()
             }
@@ -230,6 +231,8 @@
         }
     }
 
+    private fun responseTo(call: CallHead): CallerResponse = ResponseGuard(call, ResponseWriter(call))
+
     private fun logRefusal(
         call: CallHead,
         refused: Admission.Refused,
@@ -325,7 +328,6 @@
     private inner class ResponseWriter(
         private val call: CallHead,
     ) : CallerResponse {
-        private var isChunked = false
         override val isWritable: Boolean get() = ctx.channel().isWritable
 
         override fun refuse(
@@ -349,8 +351,8 @@
             val answer = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus(status, reasonPhrase), headers)
             if (contentLength != null) {
                 headers.set(HttpHeaderNames.CONTENT_LENGTH, contentLength)
-            } else {
-                isChunked = true
+            } else if (call.method != HttpMethod.HEAD) {
+                // The encoder doesn't know the request: with chunks it would send the last one after the head, before the next response.
                 HttpUtil.setTransferEncodingChunked(answer, true)
             }
             setConnectionHeader(headers)
