Move the watch for a response out of CallRun

CallRun held one timer for two questions, whether a response begins in time and whether an incomplete response to another call goes on, and checked in each of them whether its attempt was still the current one. ResponseWatch now has both, one for each attempt, and is stopped when the response begins or the attempt is over. No change of behaviour is meant.

Evidence: KeptFailureSpec, LargeFailureSpec, LateRefusalSpec, ForeignResponsesSpec, RepeatedRefusalSpec, RepeatedResponseSpec, JoinedResponseSpec, BrokenStreamSpec, EndlessBytesSpec and InstanceSpec pass (102 tests).

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -10,7 +10,6 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.skylarkstile.config.log.event
 import io.skylarkstile.gateway.admission.Admission
-import io.skylarkstile.gateway.main.Timer
 import io.skylarkstile.gateway.model.AdapterVersion
 import io.skylarkstile.gateway.model.CallHead
 import io.skylarkstile.gateway.model.Dispatch
@@ -38,9 +37,6 @@
 /** Retry-After value when this instance shuts down, in milliseconds; the caller then uses another instance. */
 internal const val SHUTDOWN_RETRY_AFTER_MS = 20L
 
-/** Multiple of the route's target latency after which a response counts as missing and a repeatable call tries another target. */
-private const val RESPONSE_TIMEOUT_LATENCIES = 2.0
-
 /** Runs one call; all functions are called on the event loop. */
 internal class CallRun(
     private val serving: RelayContext,
@@ -64,7 +60,6 @@
     private var mayHaveExecuted = false
     private var attempt: Attempt? = null
     private var lostConnections = 0
-    private var responseTimer: Timer? = null
     private val deadlineTimer = serving.scheduler.after(max(0, deadlineAt - DEADLINE_MARGIN_MS - arrivedAt)) { expire() }
 
     private val search = TargetSearch(serving, call, service, route, arrivedAt, deadlineAt, SearchResult())
@@ -89,6 +84,7 @@
         val sentAt: Long,
     ) {
         var connection: TargetConnection? = null
+        var watch: ResponseWatch? = null
         var isOver = false
         var isSent = false
         var head: ResponseHead? = null
@@ -203,34 +199,21 @@
             )
         val headers = serving.codec.targetHeaders(call, dispatch)
         connection.send(call.id, call.method, call.uri, headers, body.retainedDuplicate(), route.isRepeatable, this)
-        watchForResponse(started)
-    }
-
-    /** Records a failure of the target if no response starts in time, and retries a repeatable call elsewhere. */
-    private fun watchForResponse(started: Attempt) {
-        val timeoutMs = max(MIN_RESPONSE_TIMEOUT_MS, (route.targetLatencyMs * RESPONSE_TIMEOUT_LATENCIES).toLong())
-        responseTimer =
-            serving.scheduler.after(timeoutMs) {
-                val now = serving.scheduler.now()
-                if (attempt !== started || started.isOver || started.head != null) return@after
-                started.target.health.recordFailure(now)
-                if (route.isRepeatable && now + timeoutMs <= deadlineAt && canRetry()) {
-                    failed(started, "no response within $timeoutMs ms")
-                } else {
-                    watchOtherResponse(started)
-                }
-            }
-    }
-
-    /** Fails the call if its response may lie in an incomplete response to another call, of which nothing more arrives. */
-    private fun watchOtherResponse(started: Attempt) {
-        val connection = started.connection?.takeIf { it.isInsideOtherResponse } ?: return
-        val received = connection.receivedBytes
-        responseTimer =
-            serving.scheduler.after(MIN_RESPONSE_TIMEOUT_MS) {
-                if (attempt !== started || started.isOver || started.head != null) return@after
-                if (connection.receivedBytes > received) watchOtherResponse(started) else failed(started, "other response incomplete")
-            }
+        started.watch = ResponseWatch(serving.scheduler, connection, route.targetLatencyMs, WatchResult(started)).also { it.start() }
+    }
+
+    private inner class WatchResult(
+        private val started: Attempt,
+    ) : ResponseWatchListener {
+        override fun responseMissing(timeoutMs: Long): Boolean {
+            val now = serving.scheduler.now()
+            started.target.health.recordFailure(now)
+            val isRetried = route.isRepeatable && now + timeoutMs <= deadlineAt && canRetry()
+            if (isRetried) failed(started, "no response within $timeoutMs ms")
+            return !isRetried
+        }
+
+        override fun otherResponseIncomplete() = failed(started, "other response incomplete")
     }
 
     override fun head(
@@ -238,7 +221,7 @@
         response: HttpResponse,
     ) {
         val running = attempt ?: return
-        responseTimer?.cancel()
+        running.watch?.stop()
         running.target.recordActivity(serving.scheduler.now())
         running.head = head
         running.respondedAt = serving.scheduler.now()
@@ -418,7 +401,6 @@
 
     /** Ends the current attempt and closes its connection if the response is incomplete. */
     private fun endAttempt() {
-        responseTimer?.cancel()
         val running = attempt ?: return
         if (running.isOver) return
         release(running)
@@ -427,6 +409,7 @@
 
     private fun release(running: Attempt) {
         running.isOver = true
+        running.watch?.stop()
         if (running.isSent) running.target.silence.callEnded()
         running.target.removeCall(running.weight, running.adapter)
         running.connection?.setReading(true)
@@ -472,7 +455,6 @@
         isEnded = true
         search.stop()
         deadlineTimer.cancel()
-        responseTimer?.cancel()
         body.release()
         serving.end(this)
         logEnd(serving.scheduler.now(), outcome)
@@ -493,7 +475,6 @@
     private companion object {
         const val INSTANCE_STOPS = "instance-stops"
         const val PART_BLOCKED = "prompt-part-blocked"
-        const val MIN_RESPONSE_TIMEOUT_MS = 250L
         const val SERVER_ERROR = 500
         const val BAD_GATEWAY = 502
         const val UNAVAILABLE = 503
