Reject a request whose head contains the request line of another one

A request that was cut off inside the value of a header, followed by another one on the same connection, became one call with the path of the first and the id, headers and body of the second, and ran.

Cause: as for responses, the decoder makes one head of both: the second request line ends the value of the header. Cuts in the request line, in names of headers, between headers and inside the headers Host and X-Attempt-Id were rejected before, too. A cut inside the method gives another method, with all else being the second request's own; that isn't rejected.

A header whose value ends with a request line is now answered with 400, and the connection is closed.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
@@ -31,6 +31,7 @@
 import io.skylarkstile.gateway.main.Timer
 import io.skylarkstile.gateway.model.CallHead
 import io.skylarkstile.gateway.model.CallerLimits
+import io.skylarkstile.http.containsRequestLine
 
 private val log = KotlinLogging.logger {}
 
@@ -106,6 +107,7 @@
         if (message.headers().contains(HttpHeaderNames.TRANSFER_ENCODING) && !HttpUtil.isTransferEncodingChunked(message)) {
             return reject(BAD_REQUEST, "unsupported transfer encoding")
         }
+        if (containsRequestLine(message.headers())) return reject(BAD_REQUEST, "a request line within the head of another request")
         request = message
         body = Unpooled.EMPTY_BUFFER
         isKeepAlive = HttpUtil.isKeepAlive(message)
--- a/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/ServerConnection.kt
+++ b/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/ServerConnection.kt
@@ -29,6 +29,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
 import io.skylarkstile.config.log.event
+import io.skylarkstile.http.containsRequestLine
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
@@ -167,6 +168,7 @@
     }
 
     private fun beginRequest(request: NettyRequest) {
+        if (containsRequestLine(request.headers())) return reject(HttpResponseStatus.BAD_REQUEST)
         head = request
         body = ByteArrayOutputStream(0)
         if (HttpUtil.getContentLength(request, 0L) > server.limits.maxBodyBytes) return reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
--- a/skylarkstile-transport/src/test/kotlin/io/skylarkstile/transport/http/HttpServerSpec.kt
+++ b/skylarkstile-transport/src/test/kotlin/io/skylarkstile/transport/http/HttpServerSpec.kt
@@ -5,6 +5,7 @@
 
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
@@ -231,6 +232,17 @@
             answers.substringAfter("\r\n\r\n") shouldStartWith "HTTP/1.1 404"
         }
 
+        // The request line of the first and headers and body of the second request could become one call.
+        test("a request that is cut off inside its head and followed by another one isn't joined with it") {
+            val cutOff = "POST /stream HTTP/1.1\r\nX-First: one\r\nHost: x\r\nX-Last: two\r\n"
+            val next = "POST /echo HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 4\r\n\r\nnext"
+            ("POST".length + 1..cutOff.length).forEach { cut ->
+                withClue("cut off after '${cutOff.take(cut).substringAfterLast('\n')}' ($cut bytes)") {
+                    raw(cutOff.take(cut) + next) shouldStartWith "HTTP/1.1 400"
+                }
+            }
+        }
+
         test("drains without interrupting a running response") {
             val other = httpServer("127.0.0.1:0") { wholeAnswer(200, "text/plain", "done".toByteArray()).also { delay(300) } }
             val result = CompletableDeferred<String>()
