Bound the age of the views of the store, and tell a failed call from an outage

Callers saw: requests reached draining targets up to 1.8 s past the drain bound after connections to the store had gone silent, and targets without a draining entry up to 0.2 s past it after the store had cut off its watches, from machines in touch.

Cause: a view had no maximum age, and one failed call was taken for the state of the store. A watch stood on a silent connection for 3.5 s, longer after a pause, and the next call could take an idle connection that was silent too. After a failed call the next watch waited for changes, and whatever it brought was taken for the first answer after an outage, whose removals are kept for 2.2 s.

Change: a watch is overdue 2.9 s after the last answer at the latest, also after a pause. A failed or overdue call is followed at once by a call that waits 1 ms on a new connection; only if that fails too, the store is away. Such calls at once are at least 1 s apart.

Ruled out: shorter waits in steady state, since each call has a price. 240 calls in 10 minutes of virtual time without changes and 300 with one each 4 s, before and after (ViewAgeSpec).

InstanceSpec, MembershipSpec, FleetExchangeSpec and FleetCrashReportsSpec pass.

ViewAgeSpec leaves out removals that were not read before the store went away, which are kept as before.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/SharedStore.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/SharedStore.kt
@@ -40,6 +40,9 @@
 
 /** Reads and writes objects. Calls return immediately and pass their outcome to `done` on the event loop. */
 interface SharedStore {
+    /** Makes later calls use new connections. Called when a call had no answer, since its connection and the others may have gone silent. */
+    fun renewConnections() = Unit
+
     /** Lists all objects of [kind]. */
     fun list(
         kind: StoreKind,
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/StoreWatch.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/StoreWatch.kt
@@ -1,6 +1,7 @@
 /*
  * Follows all objects of one kind in the store with a list and then consecutive watches (long polls). It also tracks the time up to which
- * the view is known to be current, since permissions such as the order lease end when that time is too long ago.
+ * the view is known to be current, since permissions such as the order lease end when that time is too long ago. A view that hears nothing of
+ * the store for too long, or whose call fails, is asked for again at once on a new connection; only if that call fails too, the store is away.
  *
  * An instance that may rely on peers applies their changes and confirmations instead, and reads the store again as soon as these are too
  * old. Both sources use the store's revisions, so no change is missed or applied twice on switching between them.
@@ -12,12 +13,29 @@
 import io.skylarkstile.config.log.event
 import io.skylarkstile.gateway.admission.Freshness
 import io.skylarkstile.gateway.main.Scheduler
+import io.skylarkstile.gateway.main.Timer
 
 private val log = KotlinLogging.logger {}
 
 private const val INITIAL_BACKOFF_MS = 100L
 private const val MAX_BACKOFF_MS = 800L
 
+/**
+ * A watch that isn't answered this long after the last contact with the store, in milliseconds, is given up. It is below the time after which
+ * a machine whose connections went silent counts as in touch again (3 s), with room for one call on a new connection.
+ */
+internal const val MAX_SILENCE_MS = 2_900L
+
+/** An answer that comes later than this after the wait of its watch is overdue, in milliseconds; the longer time holds while answers are slow. */
+private const val MIN_PATIENCE_MS = 400L
+private const val MAX_PATIENCE_MS = 1_000L
+
+/** A failed call is followed by another one at once only this long after the last such failure, in milliseconds, since calls have a price. */
+private const val DOUBT_INTERVAL_MS = 1_000L
+
+/** Wait of a watch that only asks whether the store answers, in milliseconds. */
+private const val PROBE_WAIT_MS = 1L
+
 /** Receives the list and the changes that a [StoreWatch] reads. */
 interface StoreListener {
     /**
@@ -96,6 +114,14 @@
     private val current = Freshness(Long.MAX_VALUE)
     private var revision: Long? = null
     private var backoffMs = INITIAL_BACKOFF_MS
+
+    /** Time of the first failed call since the last answer; null while no call has failed. */
+    private var doubtfulSince: Long? = null
+
+    /** Time of the last failed call that wasn't part of an outage. */
+    private var doubtedAt: Long? = null
+
+    /** Time at which an outage of the store began: the first failed call and the one at once after it, on a new connection, had no answer. */
     private var failedSince: Long? = null
     private var outageEndedAt: Long? = null
 
@@ -105,6 +131,11 @@
 
     /** Number of the pending request; answers to earlier requests are ignored. */
     private var requestNumber = 0L
+
+    /** Last time at which the store, or a peer that had asked it, is known to have answered. */
+    private var contactAt: Long? = null
+    private var patienceMs = MIN_PATIENCE_MS
+    private var overdueTimer: Timer? = null
     private var followsPeers = false
     private var hadChanges = false
     private var isFetching = false
@@ -138,6 +169,7 @@
     /** Discards what is known about the view's age, because the process was suspended for an unknown time. */
     fun invalidate(now: Long) {
         current.invalidate(now)
+        contactAt = null
         peerViewAt = null
     }
 
@@ -184,6 +216,8 @@
         if (followsPeers) return
         followsPeers = true
         requestNumber++
+        overdueTimer?.cancel()
+        doubtfulSince = null
         failedSince = null
         backoffMs = INITIAL_BACKOFF_MS
     }
@@ -235,15 +269,29 @@
         val sentAt = scheduler.now()
         val thisRequest = ++requestNumber
         // An answer with changes confirms the view only as of the time of the request, so the next answer should come sooner.
-        val waitMs = if (hadChanges) timing.waitMs / CONFIRM_WAIT_DIVISOR else timing.waitMs
+        val usualMs = if (hadChanges) timing.waitMs / CONFIRM_WAIT_DIVISOR else timing.waitMs
         hadChanges = false
+        val waitMs = minOf(usualMs, longestWaitMs(sentAt))
+        overdueTimer?.cancel()
         if (after == null) {
             store.list(kind) { if (thisRequest == requestNumber) listed(it, sentAt) }
         } else {
             store.watch(kind, after, waitMs) { if (thisRequest == requestNumber) watched(it, sentAt, waitMs) }
+            if (doubtfulSince == null) overdueTimer = scheduler.after(waitMs + patienceMs) { if (thisRequest == requestNumber) overdue() }
         }
     }
 
+    /** Returns the longest wait after which a silent connection is still found in time; a call after a failure asks only for an answer. */
+    private fun longestWaitMs(now: Long): Long {
+        val contact = contactAt?.takeIf { doubtfulSince == null } ?: return PROBE_WAIT_MS
+        return maxOf(PROBE_WAIT_MS, MAX_SILENCE_MS - patienceMs - (now - contact))
+    }
+
+    private fun overdue() {
+        log.event(Level.INFO, "store-silent", "kind" to "$kind", "revision" to revision) { "a watch of $kind is overdue, asking again" }
+        failed(StoreResult.Failed("overdue", false))
+    }
+
     private fun requestNextAfter(delayMs: Long) {
         val thisRequest = requestNumber
         scheduler.after(delayMs) { if (thisRequest == requestNumber) requestNext() }
@@ -255,7 +303,7 @@
     ) {
         if (result !is StoreResult.Success) return failed(result)
         val now = scheduler.now()
-        recovered(now)
+        recovered(now, sentAt)
         revision = result.value.revision
         changeLog.restart(result.value)
         listener.onListed(result.value, now, returnByOrNull(now))
@@ -270,7 +318,7 @@
     ) {
         if (result !is StoreResult.Success) return failed(result)
         val now = scheduler.now()
-        recovered(now)
+        recovered(now, sentAt + waitMs)
         val page = result.value
         if (page.objects.isEmpty()) {
             revision = maxOf(revision ?: 0, page.revision)
@@ -302,6 +350,7 @@
         revision: Long,
     ) {
         current.confirm(at, requestedAt)
+        contactAt = maxOf(contactAt ?: at, at)
         listener.onConfirmed(at, requestedAt, revision)
     }
 
@@ -312,15 +361,32 @@
             revision = null
             return requestNext()
         }
+        store.renewConnections()
+        val since = doubtfulSince
+        if (since == null) {
+            // The store may cut off a watch at any time, and a connection may be silent while new ones work.
+            doubtfulSince = now
+            val isRepeated = doubtedAt?.let { now - it < DOUBT_INTERVAL_MS } ?: false
+            doubtedAt = now
+            return if (isRepeated) requestNextAfter(INITIAL_BACKOFF_MS) else requestNext()
+        }
         if (failedSince == null) {
-            failedSince = now
+            failedSince = since
             log.event(Level.WARN, "store-lost", "kind" to "$kind", "result" to "$result") { "store calls for $kind fail" }
         }
         requestNextAfter(backoffMs)
         backoffMs = minOf(backoffMs * 2, MAX_BACKOFF_MS)
     }
 
-    private fun recovered(now: Long) {
+    /** Records an answer of the store that was due at [dueAt]. */
+    private fun recovered(
+        now: Long,
+        dueAt: Long,
+    ) {
+        contactAt = now
+        patienceMs = (2 * (now - dueAt)).coerceIn(MIN_PATIENCE_MS, MAX_PATIENCE_MS)
+        doubtfulSince = null
+        overdueTimer?.cancel()
         backoffMs = INITIAL_BACKOFF_MS
         isFirstAnswer = failedSince != null
         val since = failedSince ?: return
