End the search for status lines in chunks with the end of the response

No call got a wrong response.

The search ends with the last chunk now. ResponseHeadSpec divides a head at each byte after a response in chunks; it failed before and passes.

--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/relay/ResponseHeadSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/relay/ResponseHeadSpec.kt
@@ -3,6 +3,7 @@
  */
 package io.skylarkstile.gateway.relay
 
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldStartWith
@@ -88,15 +89,18 @@
 ) = "HTTP/1.1 $status\r\n$header\r\n$CALL_ID: $callId\r\nContent-Length: 4\r\n\r\nbody"
 
 /** Sends one call after the other on a connection, and passes the response to each on to it; returns what became of the last one. */
-private fun outcomeOf(vararg responses: String): RecordedResponse {
+private fun outcomeOf(vararg responses: String): RecordedResponse = outcomeOf(*responses.map { listOf(it) }.toTypedArray())
+
+/** As above; the parts of each response arrive one after the other. */
+private fun outcomeOf(vararg responses: List<String>): RecordedResponse {
     val decoder = ResponseDecoder()
     val connection = TargetConnection(IdCodec, decoder)
     val channel = EmbeddedChannel(HttpRequestEncoder(), decoder, ResponseEndHandler(), connection)
     val recorded =
-        responses.mapIndexed { number, response ->
+        responses.mapIndexed { number, parts ->
             RecordedResponse().also {
                 connection.send("c-$number", HttpMethod.POST, "/", DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER, false, it)
-                channel.writeInbound(Unpooled.copiedBuffer(response, Charsets.ISO_8859_1))
+                parts.forEach { part -> channel.writeInbound(Unpooled.copiedBuffer(part, Charsets.ISO_8859_1)) }
             }
         }
     channel.finishAndReleaseAll()
@@ -119,6 +123,16 @@
             outcome.end.orEmpty() shouldStartWith "out of step"
         }
 
+        // After a response in chunks, a head that arrived in two parts was taken for a status line within these chunks.
+        test("a head that arrives in parts after a response in chunks is passed on, wherever it is divided") {
+            val inChunks = "HTTP/1.1 200 OK\r\n$CALL_ID: c-0\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+            val next = responseTo("c-1", "200 OK")
+            for (end in 1 until next.length) {
+                val outcome = outcomeOf(listOf(inChunks), listOf(next.take(end), next.drop(end)))
+                withClue("divided after $end bytes: ${outcome.end}") { outcome.isComplete shouldBe true }
+            }
+        }
+
         // A target that crashed inside a head wasn't counted among those that a call has ended.
         test("a connection that ends inside a head is reported as ended") {
             val outcome = outcomeOf("HTTP/1.1 200 OK\r\n$CALL_ID: c-0\r\n")
--- a/skylarkstile-http/src/main/kotlin/io/skylarkstile/http/ResponseDecoder.kt
+++ b/skylarkstile-http/src/main/kotlin/io/skylarkstile/http/ResponseDecoder.kt
@@ -27,7 +27,7 @@
     var mayDecode: (ByteBuf) -> Boolean = { true }
     private var isBodyless = false
 
-    /** True from a head that announces chunks to the next head. */
+    /** True from a head that announces chunks to the end of its response. */
     private var isChunked = false
 
     private var isInsideHead = true
@@ -85,7 +85,10 @@
         } else if (isChunked && (decoded == null || decoded is LastHttpContent)) {
             if (containsStatusLineStart(buffer.slice(start, buffer.readerIndex() - start))) endMalformed(out, count)
         }
-        if (out.lastOrNull() is LastHttpContent) isInsideHead = true
+        if (out.lastOrNull() is LastHttpContent) {
+            isInsideHead = true
+            isChunked = false
+        }
     }
 
     /**
@@ -137,7 +140,6 @@
         val end = DefaultLastHttpContent(Unpooled.EMPTY_BUFFER)
         end.decoderResult = DecoderResult.failure(IllegalArgumentException("a status line within the chunks of a response"))
         out.add(end)
-        isChunked = false
     }
 
     private fun containsStatusLineStart(data: ByteBuf): Boolean =
