--- a/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/NettyHttpClient.kt
+++ b/skylarkstile-transport/src/main/kotlin/io/skylarkstile/transport/http/NettyHttpClient.kt
@@ -36,7 +36,8 @@
 import java.util.concurrent.ConcurrentLinkedDeque
 import java.util.concurrent.atomic.AtomicLong
 
-private val log = KotlinLogging.logger {}
+/** Created on first use: creating a logger prints a line on standard output, which belongs to the results of the operator command. */
+private val log by lazy { KotlinLogging.logger {} }
 
 /**
  * Creates a client whose connection attempts time out after [connectTimeoutMs] milliseconds. While more than [readAheadBytes] bytes of
