--- a/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/cluster/Rendezvous.kt
+++ b/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/cluster/Rendezvous.kt
@@ -18,6 +18,9 @@
     return h xor (h ushr 33)
 }
 
+/** Returns a number from 0 to 1 for [text], the same in every process. */
+fun stableFraction(text: String): Double = (stableHash(text) ushr 1).toDouble() / Long.MAX_VALUE
+
 /** Returns the active members in the order in which they are preferred as owner of [resource]: those in its data centre first. */
 fun Roster.ranked(resource: Resource): List<Member> = members
     .filter { it.state == Member.State.Active }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterPlacement.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterPlacement.kt
@@ -62,17 +62,26 @@
         if (available.isEmpty()) return Placement.NoTarget
         val copies = available.filter { adapter in it.adapters }
         val usable = copies.filter { !it.availability.isBlocked(now) }
-        val best = usable.filter { it.adapters[adapter] == AdapterPhase.Present }.minByOrNull { selector.delayMs(now, it) }
+        val present = usable.filter { it.adapters[adapter] == AdapterPhase.Present }
+        val best = present.filter { !it.isDeparting }.ifEmpty { present }.minByOrNull { selector.delayMs(now, it) }
         if (best != null) return Placement.Run(best)
         val loading = usable.mapNotNull { target -> (target.adapters[adapter] as? AdapterPhase.Loading)?.let { target to it.readyAt } }
         loading.minByOrNull { it.second }?.let { (target, readyAt) -> return Placement.LoadAndWait(target, readyAt) }
-        val loadable = available.filter { it.isOrderable(now) && !it.availability.isBlocked(now) && (copies.isEmpty() || !it.isLimited) }
+        val loadable = available.filter { mayLoad(now, it) && (copies.isEmpty() || !it.isLimited(now)) }
         if (loadable.isNotEmpty()) return Placement.LoadAndWait(preferredTarget(now, adapter, loadable), null)
         val blockedUntil = copies.mapNotNull { it.availability.blockedUntilOrNull(now) }.minOrNull()
         return blockedUntil?.let(Placement::Blocked) ?: Placement.NoTarget
     }
 
-    /** Returns the target that should load another copy of [adapter] because those that have it are busy, or null if none should. */
+    private fun mayLoad(
+        now: Long,
+        target: TargetState,
+    ): Boolean = target.isOrderable(now) && !target.availability.isBlocked(now) && !target.isDeparting
+
+    /**
+     * Returns the target that should load another copy of [adapter], because those that have it are busy or in data centres under evacuation,
+     * or null if none should.
+     */
     fun copyTargetOrNull(
         now: Long,
         adapter: AdapterVersion,
@@ -81,11 +90,11 @@
         val holders = candidates.filter { adapter in it.adapters }
         if (holders.isEmpty() || holders.any { it.adapters[adapter] is AdapterPhase.Loading }) return null
         val best = holders.minOf { selector.delayMs(now, it) }
-        if (best < MIN_COPY_DELAY_MS) return null
+        val areDeparting = holders.all { it.isDeparting }
+        if (best < MIN_COPY_DELAY_MS && !areDeparting) return null
+        val maxDelayMs = if (areDeparting) BUSY_DELAY_MS else best * MAX_COPY_DELAY_RATIO
         return ranked(adapter.name, candidates - holders.toSet()).firstOrNull {
-            isFreeFor(now, adapter, it) &&
-                !it.isLimited &&
-                selector.delayMs(now, it) < best * MAX_COPY_DELAY_RATIO
+            isFreeFor(now, adapter, it) && !it.isDeparting && !it.isLimited(now) && selector.delayMs(now, it) < maxDelayMs
         }
     }
 
@@ -95,7 +104,7 @@
         available: List<TargetState>,
     ): TargetState {
         val ranking = ranked(adapter.name, available)
-        return ranking.firstOrNull { isFreeFor(now, adapter, it) && !it.isLimited && selector.delayMs(now, it) < BUSY_DELAY_MS }
+        return ranking.firstOrNull { isFreeFor(now, adapter, it) && !it.isLimited(now) && selector.delayMs(now, it) < BUSY_DELAY_MS }
             ?: ranking.firstOrNull { isFreeFor(now, adapter, it) && selector.delayMs(now, it) < BUSY_DELAY_MS }
             ?: ranking.firstOrNull { isFreeFor(now, adapter, it) }
             ?: ranking.first()
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -77,6 +77,13 @@
 private const val AGGREGATOR_WAIT_SHARE = 0.15
 private const val PEER_VIEW_AGE_SHARE = 0.75
 
+/**
+ * The same for evacuations, as shares of the evacuation bound. Older views than the maximum would leave no time to close one target after the
+ * other.
+ */
+private const val EVACUATION_WAIT_SHARE = 0.15
+private const val EVACUATION_VIEW_AGE_SHARE = 0.4
+
 /** A target that is removed soon after an outage of the store gets no calls from this long before the drain bound on, in milliseconds. */
 private const val REMOVAL_MARGIN_MS = 300L
 
@@ -195,7 +202,10 @@
         override val waitingCalls: Int get() = serving.waitingCalls
         override val instances: Int get() = serving.instanceCount
         override val suspectedTargets: Int get() = scheduler.now().let { now -> targets.all.count { it.isSuspected(now) } }
-        override val limitedTargets: Int get() = targets.all.count { it.isLimited }
+        override val limitedTargets: Int get() = scheduler.now().let { now -> targets.all.count { it.isLimited(now) } }
+        override val coldTargets: Int get() = scheduler.now().let { now -> targets.all.count { it.callLimit.cold.isCold(now) } }
+        override val evacuatedDataCentres: Int get() = targets.evacuatedDataCentres.size
+        override val departingTargets: Int get() = targets.all.count { it.isDeparting && !it.isEvacuated }
         override val leavingTargets: Int get() = targets.all.count { it.availability.isLeaving }
         override val pausedTargets: Int get() = scheduler.now().let { now -> targets.all.count { it.availability.isPaused(now) } }
         override val blockedParts: Int get() = crashReports.blockedParts()
@@ -246,6 +256,7 @@
                 maxOf(0, drainMs - REMOVAL_MARGIN_MS),
             ),
         ) { platform.records.target(it).get() }
+        settings.bounds.evacuationMs?.let(::followEvacuations)
         val recordTiming = FleetWatchTiming(exchange, RECORD_PAUSE_MS, RECORD_WAIT_MS, RECORD_AGE_MS)
         follow(StoreKind.AdapterVersions, VersionListener(platform.records, serving.adapterVersions), recordTiming)
         follow(StoreKind.Instances, membership, recordTiming, ::peerRecordOrNull)
@@ -261,6 +272,13 @@
         }
     }
 
+    /** Follows the evacuations of data centres, whose targets must get no calls [boundMs] after the store has accepted an evacuation. */
+    private fun followEvacuations(boundMs: Long) = follow(
+        StoreKind.Evacuations,
+        EvacuationListener(platform.records, targets, settings.dataCentres, boundMs),
+        FleetWatchTiming(exchange, 0, (boundMs * EVACUATION_WAIT_SHARE).toLong(), (boundMs * EVACUATION_VIEW_AGE_SHARE).toLong()),
+    )
+
     /** Applies changed [settings] as far as possible without a restart; the name and the addresses need one. */
     fun reconfigure(settings: GatewaySettings) {
         val bounds = settings.bounds
@@ -325,13 +343,14 @@
         val lines =
             targets.all.map {
                 "${it.id} ${it.entry.service} own=${it.ownWeight} peers=${it.otherInstancesWeight} " +
-                    "limit=${it.callLimit.callsPerSecond} leaving=${it.availability.isLeaving} " +
+                    "limit=${it.callLimit.callsPerSecond} coldMs=${it.callLimit.cold.remainingMs(now)} evacuated=${it.isEvacuated} " +
+                    "leaving=${it.availability.isLeaving} " +
                     "blockedMs=${it.availability.blockedUntilOrNull(now)?.minus(now)} adapters=${it.adapters}"
             }
-        return "instances ${membership.instanceSet.members.keys} keysAgeMs=${keyFreshness.ageOrNull(
-            now,
-        )} waiting=${serving.waitingCalls} blockedParts=${crashReports.blockedParts()}\n" +
-            lines.joinToString("\n")
+        val state =
+            "instances ${membership.instanceSet.members.keys} keysAgeMs=${keyFreshness.ageOrNull(now)} waiting=${serving.waitingCalls} " +
+                "blockedParts=${crashReports.blockedParts()} evacuatedDataCentres=${targets.evacuatedDataCentres.sorted()}"
+        return (listOf(state) + lines).joinToString("\n")
     }
 
     private fun receive(datagram: GatewayDatagram) {
@@ -386,6 +405,7 @@
         checkSuspension()
         val now = scheduler.now()
         exchange.tick()
+        targets.tick(now)
         prober.tick(now)
         if (now - slowTickAt >= SLOW_TICK_MS) slowTick(now)
         scheduler.after(if (exchange.isDirect) TICK_MS else FLEET_TICK_MS, ::tick)
@@ -433,12 +453,10 @@
 
     private fun targetsChanged() {
         targets.nextRemovalOrNull()?.let { scheduler.after(maxOf(0, it - scheduler.now()), ::removeExpiredTargets) }
-        targets.all.forEach {
-            it.memoryCapacityTokens = serving.configuration
-                ?.services
-                ?.get(it.entry.service)
-                ?.engine
-                ?.memoryCapacityTokens ?: 0
+        val now = scheduler.now()
+        val services = serving.configuration?.services
+        targets.all.filter { it.apply(services?.get(it.entry.service), now) }.forEach {
+            log.event(Level.INFO, "target-cold", "target" to it.id, "coldMs" to it.entry.coldMs) { "target is cold, as its entry says" }
         }
         lease.refresh(targetIds())
         adapterManager.refresh()
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/GatewayMetrics.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/GatewayMetrics.kt
@@ -20,6 +20,11 @@
     val limitedTargets: Int
     val blockedParts: Int
 
+    /** Number of targets that count as cold, of data centres under evacuation, and of targets there that still take calls. */
+    val coldTargets: Int
+    val evacuatedDataCentres: Int
+    val departingTargets: Int
+
     /** Bytes that the bodies of requests take of the memory for them. */
     val bodyBytes: Long
 
@@ -109,6 +114,11 @@
         gauge("skylarkstile_gateway_limited_targets", "Targets that have named a limit of the calls that they accept.") {
             gauges.limitedTargets.toDouble()
         }
+        gauge("skylarkstile_gateway_cold_targets", "Targets that count as cold after their start.") { gauges.coldTargets.toDouble() }
+        gauge("skylarkstile_gateway_evacuated_data_centres", "Data centres under evacuation.") { gauges.evacuatedDataCentres.toDouble() }
+        gauge("skylarkstile_gateway_departing_targets", "Targets in data centres under evacuation that still take calls.") {
+            gauges.departingTargets.toDouble()
+        }
         gauge("skylarkstile_gateway_leaving_targets", "Targets that have said that they leave.") { gauges.leavingTargets.toDouble() }
         gauge("skylarkstile_gateway_paused_targets", "Targets that want no calls of this instance for a while.") {
             gauges.pausedTargets.toDouble()
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/StoreListeners.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/StoreListeners.kt
@@ -167,3 +167,75 @@
             }
     }
 }
+
+/**
+ * Applies the evacuations of data centres, which have to be complete [boundMs] after the store has accepted them, to [targets]. [dataCentres]
+ * are the known ones; an evacuation of another one has no effect. A record that can't be read neither begins nor ends an evacuation.
+ */
+internal class EvacuationListener(
+    private val records: RecordDecoder,
+    private val targets: TargetTable,
+    private val dataCentres: Set<String>,
+    private val boundMs: Long,
+) : StoreListener {
+    /** Time at which the view was last known to be current; null before the first list, which may contain old evacuations. */
+    private var confirmedAt: Long? = null
+
+    override fun onListed(
+        page: StorePage,
+        now: Long,
+        reappearUntil: Long?,
+    ) {
+        page.objects.forEach { read(it, now) }
+        val listed = page.objects.mapTo(HashSet()) { it.name }
+        targets.evacuatedDataCentres.filter { it !in listed }.forEach { end(it, now, page.revision) }
+    }
+
+    override fun onChanged(
+        page: StorePage,
+        now: Long,
+        reappearUntil: Long?,
+    ) = page.objects.forEach { if (it.spec == null) end(it.name, now, it.revision) else read(it, now) }
+
+    override fun onConfirmed(
+        at: Long,
+        requestedAt: Long,
+        revision: Long,
+    ) {
+        confirmedAt = maxOf(confirmedAt ?: at, at)
+    }
+
+    private fun read(
+        item: StoredObject,
+        now: Long,
+    ) = records
+        .evacuation(item)
+        .onFailure { log.event(Level.WARN, "evacuation-unusable", "record" to item.name, "revision" to item.revision) { it } }
+        .onSuccess { begin(it, now, item.revision) }
+
+    private fun begin(
+        dataCentre: String,
+        now: Long,
+        revision: Long,
+    ) {
+        if (!targets.evacuate(dataCentre, now, confirmedAt, boundMs)) return
+        val isKnown = dataCentres.isEmpty() || dataCentre in dataCentres
+        log.event(
+            if (isKnown) Level.INFO else Level.WARN,
+            "evacuation-begun",
+            "dataCentre" to dataCentre,
+            "revision" to revision,
+            "viewAgeMs" to confirmedAt?.let { now - it },
+            "isKnown" to isKnown,
+        ) { if (isKnown) "calls leave the data centre" else "no data centre has this name" }
+    }
+
+    private fun end(
+        dataCentre: String,
+        now: Long,
+        revision: Long,
+    ) {
+        if (!targets.endEvacuation(dataCentre, now)) return
+        log.event(Level.INFO, "evacuation-ended", "dataCentre" to dataCentre, "revision" to revision) { "calls return to the data centre" }
+    }
+}
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/Call.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/Call.kt
@@ -62,6 +62,8 @@
     val isTargetLeaving: Boolean = false,
     /** Time in milliseconds for which a refusing target wants no calls of this instance, if given. */
     val pauseMs: Long? = null,
+    /** Time in milliseconds for which the target is still cold, if it says so. */
+    val coldMs: Long? = null,
     /** True when the target says something of itself that makes no sense, which is ignored. */
     val hasMalformedStatement: Boolean = false,
 )
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/Configuration.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/Configuration.kt
@@ -72,6 +72,14 @@
     val engine: Engine?,
     /** Path of the health check of the targets; null if they have none. */
     val healthPath: String? = null,
+    /** What targets accept after their start; null if they accept the same as later. */
+    val coldStart: ColdStart? = null,
+)
+
+/** Says that a target accepts only [callsPerSecond] from all instances together for [durationMs] milliseconds after its start. */
+data class ColdStart(
+    val callsPerSecond: Double,
+    val durationMs: Long,
 )
 
 /** Describes the engine of a service's targets. */
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/GatewaySettings.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/GatewaySettings.kt
@@ -19,6 +19,8 @@
     val bounds: DeploymentLimits,
     /** Bandwidth of the instance's network link in Mbit/s; 0 if unknown. */
     val linkMbps: Int = 0,
+    /** Names of all data centres of the deployment; empty if unknown. */
+    val dataCentres: Set<String> = emptySet(),
 )
 
 /** Limits that the deployment sets. Times are in milliseconds. */
@@ -41,4 +43,9 @@
     val quotaWindowMs: Long,
     /** Maximum time for which callers may cache resolved addresses. */
     val addressTtlMs: Long,
+    /**
+     * Maximum time from the store accepting the evacuation of a data centre until its targets get no new requests; null if data centres
+     * aren't evacuated.
+     */
+    val evacuationMs: Long? = null,
 )
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/Target.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/Target.kt
@@ -18,6 +18,8 @@
     /** Base models that the target has loaded, as of its last report. Its adapters are not part of the entry: the instance that holds
      * the target reports them sooner. */
     val models: Set<String>,
+    /** Time in milliseconds for which the target is still cold, as of its last report. */
+    val coldMs: Long = 0,
 )
 
 /** Names an adapter of a model. */
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/FleetCallPermits.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/FleetCallPermits.kt
@@ -18,6 +18,8 @@
 import io.skylarkstile.gateway.target.CallSchedule
 import io.skylarkstile.gateway.target.TargetState
 import io.skylarkstile.gateway.target.TargetTable
+import io.skylarkstile.gateway.target.lowestOrNull
+import io.skylarkstile.gateway.target.shareSchedule
 import io.skylarkstile.schema.generated.CallPermitAsk
 import io.skylarkstile.schema.generated.CallPermitGrant
 import io.skylarkstile.schema.generated.GatewayDatagram
@@ -101,7 +103,12 @@
     private fun limitOf(
         target: TargetState,
         now: Long,
-    ) = TargetLimit(target.id, target.callLimit.ageMs(now), target.callLimit.callsPerSecond)
+    ) = TargetLimit(
+        target.id,
+        target.callLimit.ageMs(now),
+        target.callLimit.callsPerSecond,
+        target.callLimit.cold.callsPerSecondOrNull(now),
+    )
 
     /** Handles what [sender] says of the limit of a target. */
     fun receive(
@@ -172,9 +179,9 @@
         maxWaitMs: Long,
         now: Long,
     ): CallGrant {
-        val callsPerSecond = target.callLimit.callsPerSecond ?: return UNLIMITED
+        val callsPerSecond = target.callLimit.rateOrNull(now) ?: return UNLIMITED
         val share = callsPerSecond / maxOf(1, instanceSet.members.size)
-        return shareSchedules.getOrPut(target.id) { CallSchedule(now) }.schedule(now, maxWaitMs, share)
+        return shareSchedules.getOrPut(target.id) { shareSchedule(self.name, target.id, now) }.schedule(now, maxWaitMs, share)
     }
 
     private fun schedule(
@@ -182,7 +189,7 @@
         maxWaitMs: Long,
         now: Long,
     ): CallGrant {
-        val callsPerSecond = limit.callsPerSecond ?: return UNLIMITED
+        val callsPerSecond = lowestOrNull(limit.callsPerSecond, limit.coldCallsPerSecond) ?: return UNLIMITED
         return schedules.getOrPut(limit.target) { CallSchedule(now) }.schedule(now, maxWaitMs, callsPerSecond)
     }
 
@@ -202,7 +209,9 @@
         now: Long,
     ): CallPermitGrant {
         // A target that this instance doesn't know yet is granted by what the sender knows.
-        val limit = targets[ask.limit.target]?.let { limitOf(it, now) } ?: ask.limit
+        val known = targets[ask.limit.target]?.let { limitOf(it, now) } ?: ask.limit
+        // The sender may know sooner that the target is cold. Nothing is lost if it is wrong: the target is cold for seconds only.
+        val limit = known.copy(coldCallsPerSecond = lowestOrNull(known.coldCallsPerSecond, ask.limit.coldCallsPerSecond))
         val grant = schedule(limit, ask.maxWaitMs, now)
         return CallPermitGrant(ask.startedAt, ask.number, grant.isGranted, grant.waitMs, limit)
     }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -178,7 +178,7 @@
         started.connection = connection
         started.isSent = true
         started.target.silence.callSent(now)
-        if (started.target.isLimited) serving.metrics.recordLimitedSend()
+        if (started.target.isLimited(now)) serving.metrics.recordLimitedSend()
         sends++
         possibleExecutions++
         mayHaveExecuted = true
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetSearch.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetSearch.kt
@@ -43,6 +43,9 @@
 /** Retry-After value when all targets are full or gone, in milliseconds. */
 internal const val OVERLOAD_RETRY_AFTER_MS = 300L
 
+/** Retry-After value while evacuations leave no target, in milliseconds; they end when an operator says so. */
+private const val EVACUATED_RETRY_AFTER_MS = 1_000L
+
 /** Receives the results of a search; each call of [TargetSearch.choose] ends in one of them unless the search is stopped. */
 internal interface TargetSearchListener {
     /** The call can be sent to [target], which has [adapter] if it isn't null. */
@@ -158,7 +161,11 @@
         adapter: AdapterVersion?,
     ) {
         val now = serving.scheduler.now()
-        if (!target.isLimited) return proceed(target, adapter, now)
+        if (!target.isLimited(now)) return proceed(target, adapter, now)
+        // Calls that have permits and wait for adapters would be sent together, and a cold target bears no burst. The load comes first there.
+        if (target.callLimit.cold.isCold(now) && adapter != null && target.adapters[adapter] != AdapterPhase.Present) {
+            return waitForAdapter(target, adapter)
+        }
         val maxWaitMs = maxOf(0, minOf(waitEndsAt, deadlineAt - MIN_REMAINING_MS) - now)
         serving.permits.request(target, maxWaitMs) { grant ->
             // Counted from the request: an answer that is read after this process stood still is old.
@@ -178,7 +185,7 @@
         val isLoaded = adapter == null || target.adapters[adapter] == AdapterPhase.Present
         if (isUsable && !isLoaded) return waitForAdapter(target, checkNotNull(adapter))
         val waitMs = usableAt - now
-        if (isUsable && waitMs > 0 && target.isLimited) return waitFor(target.id, waitMs)
+        if (isUsable && waitMs > 0 && target.isLimited(now)) return waitFor(target.id, waitMs)
         permit = null
         if (isUsable) listener.found(target, adapter) else choose()
     }
@@ -218,6 +225,7 @@
             val isPaused = serving.targets.ready(service).any { it.availability.isPaused(now) }
             return if (isPaused) listener.notFound("targets-paused", spread(waitMs)) else listener.notFound("targets-limited", waitMs)
         }
+        if (serving.targets.isEvacuated(service)) return listener.notFound("targets-evacuated", spread(EVACUATED_RETRY_AFTER_MS))
         if (now >= waitEndsAt) return listener.notFound("no-target-free", OVERLOAD_RETRY_AFTER_MS)
         waitFor(null, TARGET_RECHECK_MS)
     }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/RecordDecoder.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/RecordDecoder.kt
@@ -15,4 +15,7 @@
     fun target(record: StoredObject): Result<TargetEntry, String>
 
     fun version(record: StoredObject): Result<AdapterVersion, String>
+
+    /** Returns the name of the data centre that [record] asks to evacuate. */
+    fun evacuation(record: StoredObject): Result<String, String>
 }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/SharedStore.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/store/SharedStore.kt
@@ -4,7 +4,7 @@
 package io.skylarkstile.gateway.store
 
 /** Lists the kinds of objects in the store. */
-enum class StoreKind { Configuration, Targets, AdapterVersions, Instances }
+enum class StoreKind { Configuration, Targets, AdapterVersions, Instances, Evacuations }
 
 /** Holds one object; [spec] is its content as text, or null when the object was removed. */
 data class StoredObject(
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/CallLimit.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/CallLimit.kt
@@ -6,9 +6,11 @@
 
 import io.skylarkstile.gateway.model.NamedLimit
 
-/** Tracks the limit of one target. Not thread-safe. */
+/** Tracks the limit of one target, which names one or is cold. Not thread-safe. */
 class CallLimit {
-    /** Calls per second that the target accepts, or null if it names no limit. */
+    val cold = ColdPeriod()
+
+    /** Calls per second that the target accepts as it says in its responses, or null if it names no limit. */
     var callsPerSecond: Double? = null
         private set
     private var observedAt = NEVER
@@ -35,16 +37,19 @@
     /** Returns the time in milliseconds since the response that named or lifted the limit. */
     fun ageMs(now: Long): Long = now - observedAt
 
+    /** Returns the calls per second that the target accepts now, because it names a limit or is cold, or null if there is no limit. */
+    fun rateOrNull(now: Long): Double? = lowestOrNull(callsPerSecond, cold.callsPerSecondOrNull(now))
+
     /** Records that no call may be sent before [until], because the limit is used up. */
     fun block(until: Long) {
         blockedUntil = until
     }
 
     /** Returns the time until which no call may be sent, or null if one may be possible now. */
-    fun blockedUntilOrNull(now: Long): Long? = blockedUntil.takeIf { callsPerSecond != null && now < it }
+    fun blockedUntilOrNull(now: Long): Long? = blockedUntil.takeIf { isBlocked(now) }
 
     /** Returns whether no call may be sent now. */
-    fun isBlocked(now: Long): Boolean = callsPerSecond != null && now < blockedUntil
+    fun isBlocked(now: Long): Boolean = now < blockedUntil && rateOrNull(now) != null
 
     private fun set(
         callsPerSecond: Double?,
@@ -61,3 +66,9 @@
         const val NEVER = Long.MIN_VALUE / 2
     }
 }
+
+/** Returns the lower one of two rates, where null stands for no limit. */
+internal fun lowestOrNull(
+    a: Double?,
+    b: Double?,
+): Double? = if (a == null || b == null) a ?: b else minOf(a, b)
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/CallSchedule.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/CallSchedule.kt
@@ -4,6 +4,8 @@
  */
 package io.skylarkstile.gateway.target
 
+import io.skylarkstile.core.cluster.stableFraction
+
 /**
  * The calls of this time, in milliseconds, may be made up for after a pause. A longer pause gives no right to a larger burst.
  */
@@ -27,9 +29,11 @@
 /** Schedules the calls to one target from [startedAt] on. Not thread-safe. */
 class CallSchedule(
     startedAt: Long,
+    initialCalls: Double = 0.0,
+    private val minBurst: Double = MIN_BURST,
 ) {
     /** Calls that may be sent now; below 0, calls that are allowed for a later time. */
-    private var available = 0.0
+    private var available = initialCalls
 
     /** Refused instances that may ask again, minus those whose turn has come since. */
     private var refused = 0.0
@@ -60,8 +64,18 @@
         perMs: Double,
     ) {
         val calls = (now - refilledAt) * perMs
-        available = minOf(available + calls, maxOf(MIN_BURST, BURST_MS * perMs))
+        available = minOf(available + calls, maxOf(minBurst, BURST_MS * perMs))
         refused = maxOf(0.0, refused - calls)
         refilledAt = now
     }
 }
+
+/**
+ * Creates the schedule for [instance]'s own share of the limit of [target], which may be less than one call a second. Each instance begins at
+ * another point of its first call and saves no more than one, because otherwise all instances would send one at the same time.
+ */
+fun shareSchedule(
+    instance: String,
+    target: String,
+    startedAt: Long,
+): CallSchedule = CallSchedule(startedAt, -stableFraction("$instance|$target"), minBurst = 1.0)
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetAvailability.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetAvailability.kt
@@ -38,6 +38,7 @@
     ): AvailabilityChange {
         val hasLeft = head.isTargetLeaving && !isLeaving
         if (hasLeft) isLeaving = true
+        head.coldMs?.let { callLimit.cold.state(it, now) }
         val pauseMs = head.pauseMs
         if (pauseMs == null) {
             if (now >= pausedUntil) isResuming = false
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetProber.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetProber.kt
@@ -13,6 +13,9 @@
 private const val INITIAL_PAUSE_MS = 200L
 private const val MAX_PAUSE_MS = 1_600L
 
+/** A target that was silent for at least this long may have been started anew, in milliseconds. */
+private const val SHORTEST_RESTART_MS = 1_000L
+
 /** Sends a probe to a target and reports whether it responded. */
 fun interface TargetProbe {
     fun send(
@@ -30,6 +33,7 @@
 ) {
     private class ProbeState(
         val target: TargetState,
+        val suspectedAt: Long,
     ) {
         var isInFlight = false
         var nextAt = 0L
@@ -40,14 +44,32 @@
 
     /** Sends the probes that are due; must be called regularly. */
     fun tick(now: Long) {
-        suspects.values.removeIf { targets[it.target.id] !== it.target || !it.target.isSuspected(now) }
-        targets.all.filter { it.isSuspected(now) }.forEach { target ->
-            val probeState = suspects.getOrPut(target.id) { begin(target) }
+        suspects.values.removeIf { targets[it.target.id] !== it.target || !isProbed(it.target, now) }
+        targets.all.filter { isProbed(it, now) }.forEach { target ->
+            val probeState = suspects.getOrPut(target.id) { begin(target, now) }
             if (!probeState.isInFlight && now >= probeState.nextAt) send(probeState)
         }
     }
 
-    private fun begin(target: TargetState): ProbeState {
+    private fun respondsAgain(
+        probeState: ProbeState,
+        now: Long,
+    ) {
+        val target = probeState.target
+        target.recordActivity(now)
+        if (now - probeState.suspectedAt >= SHORTEST_RESTART_MS) target.callLimit.cold.assumeStarted(now)
+        suspects.remove(target.id, probeState)
+    }
+
+    private fun isProbed(
+        target: TargetState,
+        now: Long,
+    ): Boolean = !target.isEvacuated && target.isSuspected(now)
+
+    private fun begin(
+        target: TargetState,
+        now: Long,
+    ): ProbeState {
         target.health.markSuspect()
         log.event(
             Level.INFO,
@@ -55,7 +77,7 @@
             "target" to target.id,
             "calls" to target.ownWeight.calls,
         ) { "target has sent nothing or can't be reached, probing it" }
-        return ProbeState(target)
+        return ProbeState(target, now)
     }
 
     private fun send(probeState: ProbeState) {
@@ -65,8 +87,7 @@
             probeState.isInFlight = false
             if (hasResponded) {
                 log.event(Level.INFO, "target-heard", "target" to probeState.target.id) { "suspected target responds again" }
-                probeState.target.recordActivity(now)
-                suspects.remove(probeState.target.id, probeState)
+                respondsAgain(probeState, now)
             } else {
                 probeState.nextAt = now + probeState.pauseMs
                 probeState.pauseMs = minOf(probeState.pauseMs * 2, MAX_PAUSE_MS)
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetState.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetState.kt
@@ -4,6 +4,7 @@
 package io.skylarkstile.gateway.target
 
 import io.skylarkstile.gateway.model.AdapterVersion
+import io.skylarkstile.gateway.model.Service
 import io.skylarkstile.gateway.model.TargetEntry
 
 /** State of an adapter on a target. */
@@ -34,6 +35,16 @@
 
     /** Capacity of the target's memory in tokens; 0 if it has no engine. */
     var memoryCapacityTokens = 0
+        private set
+
+    /** Entry whose statement of the cold period has been applied. */
+    private var appliedEntry: TargetEntry? = null
+
+    /** True while the target's data centre is evacuated; it may take calls until [isEvacuated]. */
+    var isDeparting = false
+
+    /** True while the target takes no calls because of the evacuation of its data centre. */
+    var isEvacuated = false
 
     /** Number of calls of this instance per adapter. */
     val adapterCalls = HashMap<AdapterVersion, Int>()
@@ -47,11 +58,27 @@
 
     fun isOrderable(now: Long): Boolean = now < orderableUntil
 
-    /** True while the target names a limit of the calls that it accepts. */
-    val isLimited: Boolean get() = callLimit.callsPerSecond != null
-
-    /** True while new calls may go to the target at some time: its entry says so, and it hasn't said that it leaves. */
-    val acceptsCalls: Boolean get() = entry.isReady && !availability.isLeaving
+    /** Returns whether the target accepts only a limited rate of calls: it names a limit, or is cold. */
+    fun isLimited(now: Long): Boolean = callLimit.rateOrNull(now) != null
+
+    /** True while new calls may go to the target at some time: its entry says so, it hasn't said that it leaves, and isn't evacuated. */
+    val acceptsCalls: Boolean get() = isInService && !isEvacuated
+
+    /** True while new calls may go to the target apart from an evacuation of its data centre. */
+    val isInService: Boolean get() = entry.isReady && !availability.isLeaving
+
+    /** Applies the current [service] of the target and, once, what its entry says; returns whether the target is cold by a new entry. */
+    fun apply(
+        service: Service?,
+        now: Long,
+    ): Boolean {
+        memoryCapacityTokens = service?.engine?.memoryCapacityTokens ?: 0
+        callLimit.cold.service = service?.coldStart
+        if (appliedEntry == entry) return false
+        appliedEntry = entry
+        callLimit.cold.state(entry.coldMs, now)
+        return callLimit.cold.isCold(now)
+    }
 
     /** Returns whether calls should go elsewhere because the target seems to be gone. */
     fun isSuspected(now: Long): Boolean = health.isSuspect || silence.isSilent(now)
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetTable.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetTable.kt
@@ -11,13 +11,58 @@
     private val targets = LinkedHashMap<String, TargetState>()
     private val returnDeadlines = HashMap<String, Long>()
 
+    private val evacuations = Evacuations()
+
     val all: Collection<TargetState> get() = targets.values
 
+    /** Names of the data centres under evacuation. */
+    val evacuatedDataCentres: Set<String> get() = evacuations.dataCentres
+
     operator fun get(id: String): TargetState? = targets[id]
 
     /** Returns the targets of [service] that accept new calls. */
     fun ready(service: String): List<TargetState> = targets.values.filter { it.entry.service == service && it.acceptsCalls }
 
+    /** Returns whether evacuations are all that keeps calls of [service] from its targets. */
+    fun isEvacuated(service: String): Boolean {
+        val inService = targets.values.filter { it.entry.service == service && it.isInService }
+        return inService.isNotEmpty() && inService.all { it.isEvacuated }
+    }
+
+    /** Begins the evacuation of [dataCentre] as [Evacuations.begin] does; returns false if it has begun before. */
+    fun evacuate(
+        dataCentre: String,
+        now: Long,
+        absentAt: Long?,
+        boundMs: Long,
+    ): Boolean = evacuations.begin(dataCentre, now, absentAt, boundMs).also { if (it) applyEvacuations(now) }
+
+    /**
+     * Ends the evacuation of [dataCentre]; returns false if there is none. Its targets may have been started anew meanwhile, so they count as
+     * cold until they say something else.
+     */
+    fun endEvacuation(
+        dataCentre: String,
+        now: Long,
+    ): Boolean {
+        if (!evacuations.end(dataCentre, now)) return false
+        targets.values.filter { it.entry.dataCentre == dataCentre }.forEach { it.callLimit.cold.assumeStarted(now) }
+        applyEvacuations(now)
+        return true
+    }
+
+    /** Closes and opens the targets of evacuated data centres as time passes. Called regularly. */
+    fun tick(now: Long) {
+        if (!evacuations.isActive) return
+        applyEvacuations(now)
+        evacuations.tick(now)
+    }
+
+    private fun applyEvacuations(now: Long) = targets.values.forEach {
+        it.isDeparting = evacuations.isDeparting(it.entry)
+        it.isEvacuated = evacuations.isClosed(it.entry, now)
+    }
+
     /** Adds or updates a target. A restarted target, or one at another address, gets a new state without history. */
     fun put(entry: TargetEntry): TargetState {
         returnDeadlines.remove(entry.id)
@@ -27,7 +72,12 @@
             existing.models = entry.models
             return existing
         }
-        return TargetState(entry).also { targets[entry.id] = it }
+        val added = TargetState(entry)
+        added.isDeparting = evacuations.isDeparting(entry)
+        // One that is new in an evacuated data centre has nothing that would have to be loaded elsewhere first.
+        added.isEvacuated = added.isDeparting
+        targets[entry.id] = added
+        return added
     }
 
     /** Removes a target; with [reappearUntil] only at that time, unless its entry has returned by then. */
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/main/GatewayMetricsPageSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/main/GatewayMetricsPageSpec.kt
@@ -20,6 +20,9 @@
     override val suspectedTargets = 0
     override val limitedTargets = 0
     override val blockedParts = 0
+    override val coldTargets = 0
+    override val evacuatedDataCentres = 0
+    override val departingTargets = 0
     override val bodyBytes = 0L
     override val leavingTargets = 0
     override val pausedTargets = 0
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/peer/FleetCallPermitsSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/peer/FleetCallPermitsSpec.kt
@@ -88,7 +88,7 @@
 
         fun call() {
             if (isSilent || target.callLimit.isBlocked(scheduler.now())) return
-            if (!target.isLimited) return sendCall()
+            if (!target.isLimited(scheduler.now())) return sendCall()
             permits.request(target, MAX_WAIT_MS) { grant ->
                 if (grant.isGranted) scheduler.after(grant.waitMs) { sendCall() }
             }
@@ -170,7 +170,8 @@
             val fleet = PermitFleet(1, 95, callsPerSecond = 10.0)
             fleet.named = NamedLimit.CallRate(4.0)
             fleet.play(1_000)
-            withClue("instances that know the limit") { fleet.members.count { it.target.isLimited } shouldBeGreaterThanOrEqualTo 85 }
+            val now = fleet.scheduler.now()
+            withClue("instances that know the limit") { fleet.members.count { it.target.isLimited(now) } shouldBeGreaterThanOrEqualTo 85 }
         }
 
         test("a limit of 0 lets a call through now and then, whose response can lift it") {
@@ -180,7 +181,7 @@
             fleet.mostInWindow(CONTACT_MS) shouldBeLessThanOrEqualTo 5
             fleet.named = NamedLimit.None
             fleet.play(8_000)
-            fleet.members.count { it.target.isLimited } shouldBe 0
+            fleet.members.count { it.target.isLimited(fleet.scheduler.now()) } shouldBe 0
         }
 
         test("the response to a call that was sent before the limit was named doesn't lift it, nor does a failure or a refusal") {
