Bound what crowds of misbehaving clients take of memory, descriptors and time

Now: a head is kept as bytes until it is whole, and decoded when the answer before it is written and read; 16 requests of a connection in a turn; a budget of the heap for heads with a reserve for common ones; requests of which nothing arrives for 1 s give way when memory is short; a new connection takes the place of an idle one at the bound.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -26,6 +26,7 @@
 import io.skylarkstile.gateway.admission.QuotaTolerance
 import io.skylarkstile.gateway.admission.SuspensionDetector
 import io.skylarkstile.gateway.admission.WorkspaceShares
+import io.skylarkstile.gateway.http.ConnectionLimiter
 import io.skylarkstile.gateway.http.ControlClient
 import io.skylarkstile.gateway.http.MAX_STORE_RESPONSE_BYTES
 import io.skylarkstile.gateway.membership.InstanceRecord
@@ -48,8 +49,8 @@
 import io.skylarkstile.gateway.relay.BodyBudget
 import io.skylarkstile.gateway.relay.CallCodec
 import io.skylarkstile.gateway.relay.CallerConnection
+import io.skylarkstile.gateway.relay.HeadBudget
 import io.skylarkstile.gateway.relay.RelayContext
-import io.skylarkstile.gateway.relay.StrictRequestDecoder
 import io.skylarkstile.gateway.relay.TargetConnectionPool
 import io.skylarkstile.gateway.store.ChangesSource
 import io.skylarkstile.gateway.store.RecordDecoder
@@ -175,6 +176,7 @@
             crashReports,
             metrics,
             BodyBudget(PlatformDependent.maxDirectMemory()),
+            HeadBudget(Runtime.getRuntime().maxMemory()),
             random::nextDouble,
         )
     private val adapterManager =
@@ -193,7 +195,7 @@
     private val membership =
         Membership(self, platform.store, scheduler, lease, ::targetIds, exchange, livenessCheck(peerClient), ::applySet, ::relistSet)
     private val suspension = SuspensionDetector(scheduler.now(), System.currentTimeMillis())
-    private val callers = HashSet<CallerConnection>()
+    private val callers = ConnectionLimiter<CallerConnection>(settings.connections.callers, metrics::recordEviction)
     private var slowTickAt = 0L
     private var serverChannel: Channel? = null
 
@@ -210,6 +212,8 @@
         override val pausedTargets: Int get() = scheduler.now().let { now -> targets.all.count { it.availability.isPaused(now) } }
         override val blockedParts: Int get() = crashReports.blockedParts()
         override val bodyBytes: Long get() = serving.bodies.reservedBytes
+        override val headBytes: Long get() = serving.heads.reservedBytes
+        override val callerConnections: Int get() = callers.size
         override val configurationAgeMs: Long? get() = keyFreshness.ageOrNull(scheduler.now())
     }
 
@@ -324,7 +328,7 @@
 
     /** Closes the connections that have no running call; returns true if no calls are running. */
     fun closeIdleConnections(): Boolean {
-        callers.toList().forEach { it.closeIfIdle() }
+        callers.all.forEach { it.closeIfIdle() }
         return serving.runningCalls == 0
     }
 
@@ -390,11 +394,13 @@
         .childHandler(
             object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
-                    val connection = CallerConnection(serving)
-                    callers.add(connection)
+                    val connection = CallerConnection(serving, channel, callers)
+                    if (!callers.tryAdd(connection)) {
+                        channel.close()
+                        return
+                    }
                     channel.closeFuture().addListener { callers.remove(connection) }
-                    val headerBytes = serving.configuration?.limits?.headerBytes ?: DEFAULT_HEADER_BYTES
-                    channel.pipeline().addLast(StrictRequestDecoder(headerBytes), HttpResponseEncoder(), connection)
+                    channel.pipeline().addLast(connection.decoder, HttpResponseEncoder(), connection)
                 }
             },
         ).bind(settings.callerListener)
@@ -483,6 +489,5 @@
     private companion object {
         /** Short enough to follow shifts of demand within seconds, long enough for adapters that are requested rarely. */
         const val POPULARITY_HALF_LIFE_MS = 15_000.0
-        const val DEFAULT_HEADER_BYTES = 16_384
     }
 }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/GatewayMetrics.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/GatewayMetrics.kt
@@ -28,6 +28,10 @@
     /** Bytes that the bodies of requests take of the memory for them. */
     val bodyBytes: Long
 
+    /** Bytes that the heads of requests take of the memory for them. */
+    val headBytes: Long
+    val callerConnections: Int
+
     /** Number of targets that have said that they leave, and of those that have asked for a pause. */
     val leavingTargets: Int
     val pausedTargets: Int
@@ -73,6 +77,12 @@
             .name("skylarkstile_gateway_malformed_statements_total")
             .help("Responses in which a target says something of itself that makes no sense.")
             .register(registry)
+    private val evictions =
+        Counter
+            .builder()
+            .name("skylarkstile_gateway_evicted_connections_total")
+            .help("Caller connections without a running call that were closed because a new one needed their place.")
+            .register(registry)
     private val foreignBytes =
         Counter
             .builder()
@@ -127,6 +137,8 @@
             gauges.blockedParts.toDouble()
         }
         gauge("skylarkstile_gateway_body_bytes", "Bytes held or reserved for the bodies of requests.") { gauges.bodyBytes.toDouble() }
+        gauge("skylarkstile_gateway_head_bytes", "Bytes held for the heads of requests.") { gauges.headBytes.toDouble() }
+        gauge("skylarkstile_gateway_caller_connections", "Open connections of callers.") { gauges.callerConnections.toDouble() }
         gauge("skylarkstile_gateway_configuration_age_seconds", "Time since the configuration was last confirmed; -1 if never.") {
             gauges.configurationAgeMs?.let { it / MS_PER_S } ?: -1.0
         }
@@ -155,6 +167,9 @@
     /** Records a response with a malformed statement of its target. */
     fun recordMalformedStatement() = malformedStatements.inc()
 
+    /** Records a caller connection that was closed for another one. */
+    fun recordEviction() = evictions.inc()
+
     /** Records bytes of a target that belong to no call. */
     fun recordForeignBytes(isInFlight: Boolean) = foreignBytes.labelValues("$isInFlight").inc()
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/GatewaySettings.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/model/GatewaySettings.kt
@@ -21,8 +21,36 @@
     val linkMbps: Int = 0,
     /** Names of all data centres of the deployment; empty if unknown. */
     val dataCentres: Set<String> = emptySet(),
+    val connections: ConnectionLimits = connectionLimits(DEFAULT_DESCRIPTORS),
 )
 
+/** Limits the connections of clients to one address of an instance; at the limit, a new one takes the place of an idle one. */
+data class ConnectionLimits(
+    val callers: Int,
+    /** For each of the other addresses that clients reach. */
+    val control: Int,
+)
+
+/** Descriptors of an instance whose settings don't say how many it has. */
+const val DEFAULT_DESCRIPTORS = 4_096
+
+/** Descriptors that are kept for files. */
+private const val FILE_DESCRIPTORS = 200
+
+/** Shares of the remaining descriptors: callers, and each of two other addresses. The rest is for targets, the store and other instances. */
+private const val CALLER_SHARE = 0.5
+private const val CONTROL_SHARE = 0.1
+private const val MIN_CONNECTIONS = 16
+
+/** Derives the limits of an instance that may open [descriptors] files and sockets. */
+fun connectionLimits(descriptors: Int): ConnectionLimits {
+    val sockets = descriptors - FILE_DESCRIPTORS
+    return ConnectionLimits(
+        maxOf(MIN_CONNECTIONS, (sockets * CALLER_SHARE).toInt()),
+        maxOf(MIN_CONNECTIONS, (sockets * CONTROL_SHARE).toInt()),
+    )
+}
+
 /** Limits that the deployment sets. Times are in milliseconds. */
 data class DeploymentLimits(
     /** Maximum time from the store accepting that a target drains until the target gets no new requests. */
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
@@ -7,6 +7,7 @@
 import io.github.oshai.kotlinlogging.Level
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -17,10 +18,8 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
-import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequest
-import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
@@ -28,6 +27,9 @@
 import io.netty.util.ReferenceCountUtil
 import io.skylarkstile.config.log.event
 import io.skylarkstile.gateway.admission.Admission
+import io.skylarkstile.gateway.http.ConnectionLimiter
+import io.skylarkstile.gateway.http.LimitedConnection
+import io.skylarkstile.gateway.http.StrictRequestDecoder
 import io.skylarkstile.gateway.main.Timer
 import io.skylarkstile.gateway.model.CallHead
 import io.skylarkstile.gateway.model.CallerLimits
@@ -38,27 +40,29 @@
 /** Limits until the first configuration is loaded. */
 private val defaultLimits = CallerLimits(headerBytes = 16_384, bodyBytes = 4_194_304, headerTimeoutMs = 3_000, idleTimeoutMs = 15_000)
 
-/** Rejects a request with both Content-Length and chunked encoding: the gateway and the caller could disagree about where it ends. */
-internal class StrictRequestDecoder(
-    headerBytes: Int,
-) : HttpRequestDecoder(headerBytes, headerBytes, CHUNK_BYTES) {
-    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
-        throw IllegalArgumentException("both Content-Length and chunked transfer encoding")
-
-    private companion object {
-        const val CHUNK_BYTES = 8_192
-    }
-}
-
 /** Handles one connection; runs on the event loop. */
 internal class CallerConnection(
     private val serving: RelayContext,
-) : ChannelInboundHandlerAdapter() {
+    private val channel: Channel,
+    private val limiter: ConnectionLimiter<CallerConnection>,
+) : ChannelInboundHandlerAdapter(),
+    LimitedConnection {
     private lateinit var ctx: ChannelHandlerContext
-    private val pendingMessages = ArrayDeque<Any>()
+
+    /** Decodes the next request when the one before it has been answered and its answer is read. */
+    val decoder =
+        StrictRequestDecoder(serving.configuration?.limits?.headerBytes ?: defaultLimits.headerBytes) {
+            isBusy || isClosing || !channel.isWritable
+        }
     private var request: HttpRequest? = null
     private val body = RequestBody(serving.bodies)
 
+    /** Memory that the head of the request in progress takes of the budget for heads, in bytes. */
+    private var reservedHeadBytes = 0L
+
+    /** Time of the last received part of the request in progress. */
+    private var receivedAt = 0L
+
     /** True while the body of a request that has been refused is read and dropped, so that its sender can read the refusal. */
     private var isDiscarding = false
     private var run: CallRun? = null
@@ -68,7 +72,8 @@
     private var timer: Timer? = null
 
     /** True while no request is being received or answered. */
-    val isIdle: Boolean get() = !isBusy && !isDiscarding && request == null && pendingMessages.isEmpty()
+    val isIdle: Boolean get() = !isBusy && !isDiscarding && request == null
+    override val isServing: Boolean get() = isBusy
     private val limits: CallerLimits get() = serving.configuration?.limits ?: defaultLimits
 
     override fun channelActive(ctx: ChannelHandlerContext) {
@@ -76,6 +81,16 @@
         waitForRequest()
     }
 
+    override fun evict() {
+        channel.close()
+    }
+
+    /** Returns whether a request is being received and nothing of it has arrived since [since]. */
+    fun isStalled(since: Long): Boolean = request != null && !isBusy && receivedAt <= since
+
+    /** Rejects the request that is being received, because others need its memory. It has not run. */
+    fun rejectStalled() = reject(REQUEST_TIMEOUT, "request stalled while memory is short")
+
     /** Closes the connection if it is idle. */
     fun closeIfIdle() {
         if (isIdle) ctx.close()
@@ -85,21 +100,14 @@
         ctx: ChannelHandlerContext,
         message: Any,
     ) {
-        if (isClosing) {
-            ReferenceCountUtil.release(message)
-        } else if (isBusy) {
-            pendingMessages.addLast(message)
-            ctx.channel().config().isAutoRead = false
-        } else {
-            process(message)
-        }
+        if (isClosing) ReferenceCountUtil.release(message) else process(message)
     }
 
     private fun process(message: Any) {
         try {
             if (message is HttpRequest) begin(message)
             if (message is HttpContent && isDiscarding) return discard(message)
-            if (message is HttpContent && request != null && !isBusy) append(message)
+            if (message is HttpContent && request != null) append(message)
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -113,12 +121,15 @@
         }
         if (containsRequestLine(message.headers())) return reject(BAD_REQUEST, "a request line within the head of another request")
         request = message
+        receivedAt = serving.scheduler.now()
+        serving.receiving.add(this)
         isKeepAlive = HttpUtil.isKeepAlive(message)
         timer?.cancel()
         timer = serving.scheduler.after(limits.headerTimeoutMs * REQUEST_TIMEOUT_FACTOR) { reject(REQUEST_TIMEOUT, "request incomplete") }
         val length = HttpUtil.getContentLength(message, 0L)
         if (length > limits.bodyBytes) return reject(BODY_TOO_LARGE, "body too large")
-        if (!body.tryReserve(length)) return refuseBody(message, length)
+        if (!tryReserveHead(message)) return refuseLargeHead(message)
+        if (!reserveBody(length)) return refuseBody(message, length)
         if (HttpUtil.is100ContinueExpected(
                 message,
             )
@@ -127,21 +138,38 @@
         }
     }
 
+    private fun tryReserveHead(message: HttpRequest): Boolean {
+        val bytes = headBytes(message)
+        if (!serving.heads.tryReserve(bytes) && !(serving.rejectStalled(this) && serving.heads.tryReserve(bytes))) return false
+        reservedHeadBytes = bytes
+        return true
+    }
+
+    /** Refuses [message], whose head can't be held, and closes the connection: what follows is read for no one. */
+    private fun refuseLargeHead(message: HttpRequest) {
+        val call = serving.codec.readCallOrNull(message) ?: return reject(BAD_REQUEST, "invalid request head")
+        logRefusal(call, Admission.Refused(SERVICE_UNAVAILABLE, "memory-full", HEAD_RETRY_AFTER_MS))
+        isClosing = true
+        dropRequest()
+        ctx.writeAndFlush(refusalOf(call, HEAD_RETRY_AFTER_MS)).addListener(ChannelFutureListener.CLOSE)
+    }
+
+    /** Returns whether a body of [bytes] bytes in all can be held, if need be in place of one that has stalled. */
+    private fun reserveBody(bytes: Long): Boolean = body.tryReserve(bytes) || (serving.rejectStalled(this) && body.tryReserve(bytes))
+
     private fun append(part: HttpContent) {
+        receivedAt = serving.scheduler.now()
         if (part.decoderResult().isFailure) return reject(BAD_REQUEST, "malformed body")
         val data = part.content()
         if (body.size + data.readableBytes() > limits.bodyBytes) return reject(BODY_TOO_LARGE, "body too large")
         val message = request ?: return
-        if (!body.tryAdd(
-                data,
-                ctx.alloc(),
-            )
-        ) {
-            return refuseBody(message, (body.size + data.readableBytes()).toLong(), part is LastHttpContent)
-        }
+        if (!addToBody(data)) return refuseBody(message, (body.size + data.readableBytes()).toLong(), part is LastHttpContent)
         if (part is LastHttpContent) dispatch()
     }
 
+    private fun addToBody(data: ByteBuf): Boolean =
+        body.tryAdd(data, ctx.alloc()) || (serving.rejectStalled(this) && body.tryAdd(data, ctx.alloc()))
+
     /** Refuses [message], whose body of [size] bytes can't be held, at once; [isRead] is true if it has no further part. */
     private fun refuseBody(
         message: HttpRequest,
@@ -153,17 +181,24 @@
         logRefusal(call, Admission.Refused(SERVICE_UNAVAILABLE, "memory-full", retryAfterMs))
         // A sender that waits for permission to send its body may not send it after a refusal.
         if (serving.isLeaving || HttpUtil.is100ContinueExpected(message)) isKeepAlive = false
-        val answer = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER)
-        HttpUtil.setContentLength(answer, 0)
-        serving.codec.addOwnHeaders(answer.headers(), call.id, retryAfterMs)
-        if (!isKeepAlive) answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        ctx.writeAndFlush(answer)
+        ctx.writeAndFlush(refusalOf(call, retryAfterMs))
         dropRequest()
         isDiscarding = true
         timer = serving.scheduler.after(limits.headerTimeoutMs * REQUEST_TIMEOUT_FACTOR) { ctx.close() }
         if (isRead || HttpUtil.is100ContinueExpected(message)) endDiscarding()
     }
 
+    private fun refusalOf(
+        call: CallHead,
+        retryAfterMs: Long,
+    ): DefaultFullHttpResponse {
+        val answer = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER)
+        HttpUtil.setContentLength(answer, 0)
+        serving.codec.addOwnHeaders(answer.headers(), call.id, retryAfterMs)
+        if (!isKeepAlive || isClosing) answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        return answer
+    }
+
     private fun discard(part: HttpContent) {
         if (part is LastHttpContent) endDiscarding()
     }
@@ -183,6 +218,7 @@
         val message = request ?: return
         val arrivedAt = serving.scheduler.now()
         request = null
+        serving.receiving.remove(this)
         val content = body.take()
         val call = serving.codec.readCallOrNull(message)
         if (call == null) {
@@ -282,22 +318,28 @@
     private fun dropRequest() {
         timer?.cancel()
         request = null
+        serving.receiving.remove(this)
+        releaseHead()
         body.drop(serving.scheduler.now())
     }
 
+    private fun releaseHead() {
+        serving.heads.release(reservedHeadBytes)
+        reservedHeadBytes = 0
+    }
+
     private fun responseWritten(keepAlive: Boolean) {
         run = null
         isBusy = false
+        limiter.served(this)
+        releaseHead()
         body.release(serving.scheduler.now())
         if (!keepAlive || isClosing) {
             isClosing = true
             return
         }
-        while (pendingMessages.isNotEmpty() && !isBusy && !isClosing) process(pendingMessages.removeFirst())
-        if (!isBusy && !isClosing) {
-            ctx.channel().config().isAutoRead = true
-            if (request == null) waitForRequest()
-        }
+        waitForRequest()
+        decoder.resume()
     }
 
     private fun waitForRequest() {
@@ -307,13 +349,12 @@
 
     override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
         run?.callerWritable(ctx.channel().isWritable)
+        if (channel.isWritable && !isBusy && !isClosing) decoder.resume()
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
         isClosing = true
         dropRequest()
-        pendingMessages.forEach(ReferenceCountUtil::release)
-        pendingMessages.clear()
         run?.callerDisconnected()
         run = null
     }
@@ -374,6 +415,7 @@
         override fun abort() {
             isClosing = true
             run = null
+            releaseHead()
             body.release(serving.scheduler.now())
             ctx.close()
         }
@@ -396,6 +438,9 @@
         const val HEADERS_TOO_LARGE = 431
         const val SERVICE_UNAVAILABLE = 503
 
+        /** Retry-After value when the memory for heads is used up, in milliseconds: heads are held for the time of their calls. */
+        const val HEAD_RETRY_AFTER_MS = 500L
+
         /** Multiple of the header timeout within which the whole request must arrive. */
         const val REQUEST_TIMEOUT_FACTOR = 3
     }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/RelayContext.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/RelayContext.kt
@@ -44,6 +44,7 @@
     val crashGuard: CrashGuard,
     val metrics: GatewayMetrics,
     val bodies: BodyBudget,
+    val heads: HeadBudget,
     val random: () -> Double,
 ) {
     /** Limits the number of log lines about single calls. */
@@ -69,6 +70,21 @@
     var isRefusingCalls = false
     private val running = LinkedHashSet<CallRun>()
 
+    /** Connections with a request that has not arrived completely, in the order in which the requests began. */
+    val receiving = LinkedHashSet<CallerConnection>()
+
+    /**
+     * Rejects the oldest request that has stalled, to free its memory for [other]; returns false if there is none. A sender that goes on is
+     * never rejected for another one.
+     */
+    fun rejectStalled(other: CallerConnection): Boolean {
+        val since = scheduler.now() - STALL_MS
+        val stalled = receiving.firstOrNull { it !== other && it.isStalled(since) } ?: return false
+        metrics.recordRefusal("stalled")
+        stalled.rejectStalled()
+        return true
+    }
+
     /** Number of calls that wait for another instance to grant their tokens. */
     var pendingAdmissions = 0
     val runningCalls: Int get() = running.size + pendingAdmissions
@@ -131,6 +147,9 @@
     private companion object {
         const val FIRST_VERSION = 1L
 
+        /** Time without any byte of a request after which it gives way to others when memory is short, in milliseconds. */
+        const val STALL_MS = 1_000L
+
         /** Share of a target's connections that the known instances use together; the rest covers instances that join or leave. */
         const val USABLE_CONNECTION_SHARE = 0.9
     }
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/main/GatewayMetricsPageSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/main/GatewayMetricsPageSpec.kt
@@ -24,6 +24,8 @@
     override val evacuatedDataCentres = 0
     override val departingTargets = 0
     override val bodyBytes = 0L
+    override val headBytes = 0L
+    override val callerConnections = 0
     override val leavingTargets = 0
     override val pausedTargets = 0
     override val configurationAgeMs: Long? = null
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/relay/TargetSearchSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/relay/TargetSearchSpec.kt
@@ -164,6 +164,7 @@
             NoCrashes,
             metrics,
             BodyBudget(1_000_000),
+            HeadBudget(1_000_000),
         ) { 0.5 }
     private val search = TargetSearch(context, call(), "models", route("/", service = "models", timeoutMs = 5_000), 0, 5_000, this)
     val results = ArrayList<String>()
