Rank targets for an adapter without sorting them by texts hashed anew for each comparison

Cause of a part of it: each look of a waiting call for a missing adapter sorted all targets by a hash of "adapter|target", worked out in each comparison.

Now the hash of a target is kept with it, and the best of those that meet the condition is taken. The ranking of the targets is another one than before; it is the same on all instances of one release. The decay of recorded outcomes is skipped when no time has passed.

--- a/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/cluster/Rendezvous.kt
+++ b/skylarkstile-core/src/main/kotlin/io/skylarkstile/core/cluster/Rendezvous.kt
@@ -13,6 +13,17 @@
 fun stableHash(text: String): Long {
     var h = FNV_OFFSET
     for (b in text.encodeToByteArray()) h = (h xor (b.toLong() and 0xff)) * FNV_PRIME
+    return mixed(h)
+}
+
+/** Returns a hash of two texts with the hashes [a] and [b], the same in every process, without reading the texts again. */
+fun combinedHash(
+    a: Long,
+    b: Long,
+): Long = mixed(a * FNV_PRIME + b)
+
+private fun mixed(hash: Long): Long {
+    var h = hash
     h = (h xor (h ushr 33)) * -49064778989728563L
     h = (h xor (h ushr 33)) * -4265267296055464877L
     return h xor (h ushr 33)
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterPlacement.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterPlacement.kt
@@ -5,6 +5,7 @@
  */
 package io.skylarkstile.gateway.adapter
 
+import io.skylarkstile.core.cluster.combinedHash
 import io.skylarkstile.core.cluster.stableHash
 import io.skylarkstile.gateway.model.AdapterName
 import io.skylarkstile.gateway.model.AdapterVersion
@@ -93,8 +94,12 @@
         val areDeparting = holders.all { it.isDeparting }
         if (best < MIN_COPY_DELAY_MS && !areDeparting) return null
         val maxDelayMs = if (areDeparting) BUSY_DELAY_MS else best * MAX_COPY_DELAY_RATIO
-        return ranked(adapter.name, candidates - holders.toSet()).firstOrNull {
-            isFreeFor(now, adapter, it) && !it.isDeparting && !it.isLimited(now) && selector.delayMs(now, it) < maxDelayMs
+        return firstRankedOrNull(adapter.name, candidates) {
+            adapter !in it.adapters &&
+                !it.isDeparting &&
+                !it.isLimited(now) &&
+                isFreeFor(now, adapter, it) &&
+                selector.delayMs(now, it) < maxDelayMs
         }
     }
 
@@ -103,11 +108,12 @@
         adapter: AdapterVersion,
         available: List<TargetState>,
     ): TargetState {
-        val ranking = ranked(adapter.name, available)
-        return ranking.firstOrNull { isFreeFor(now, adapter, it) && !it.isLimited(now) && selector.delayMs(now, it) < BUSY_DELAY_MS }
-            ?: ranking.firstOrNull { isFreeFor(now, adapter, it) && selector.delayMs(now, it) < BUSY_DELAY_MS }
-            ?: ranking.firstOrNull { isFreeFor(now, adapter, it) }
-            ?: ranking.first()
+        val free = available.filter { isFreeFor(now, adapter, it) }
+        val idle = free.filter { selector.delayMs(now, it) < BUSY_DELAY_MS }
+        return firstRankedOrNull(adapter.name, idle) { !it.isLimited(now) }
+            ?: firstRankedOrNull(adapter.name, idle)
+            ?: firstRankedOrNull(adapter.name, free)
+            ?: checkNotNull(firstRankedOrNull(adapter.name, available))
     }
 
     /** A target with another version must wait for the calls running on it before it loads, and accepts no other order meanwhile. */
@@ -117,8 +123,13 @@
         target: TargetState,
     ): Boolean = target.isOrderable(now) && !target.isSuspected(now) && target.adapters.keys.none { it.name == adapter.name }
 
-    private fun ranked(
+    /** Returns the first of those [targets] that meet [condition], in the order in which all instances rank them for [adapter]. */
+    private inline fun firstRankedOrNull(
         adapter: AdapterName,
         targets: List<TargetState>,
-    ): List<TargetState> = targets.sortedBy { stableHash("$adapter|${it.id}") }
+        condition: (TargetState) -> Boolean = { true },
+    ): TargetState? {
+        val adapterHash = stableHash("$adapter")
+        return targets.filter(condition).minByOrNull { combinedHash(adapterHash, it.idHash) }
+    }
 }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetHealth.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetHealth.kt
@@ -64,6 +64,7 @@
     }
 
     private fun decay(now: Long) {
+        if (now == decayedAt) return
         val factor = exp((decayedAt - now) / DECAY_MS)
         successes *= factor
         failures *= factor
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetState.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/target/TargetState.kt
@@ -3,6 +3,7 @@
  */
 package io.skylarkstile.gateway.target
 
+import io.skylarkstile.core.cluster.stableHash
 import io.skylarkstile.gateway.model.AdapterVersion
 import io.skylarkstile.gateway.model.Service
 import io.skylarkstile.gateway.model.TargetEntry
@@ -90,6 +91,9 @@
     }
 
     val id: String get() = entry.id
+
+    /** Hash of the target's id, for placements that rank all targets for each call. */
+    val idHash: Long = stableHash(entry.id)
     val weight: CallWeight get() = ownWeight + otherInstancesWeight
 
     /** Share of the slots or of the memory that calls occupy, whichever is larger; above 1 calls are queued. */
