--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetSearch.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetSearch.kt
@@ -70,6 +70,7 @@
     private val call: CallHead,
     private val service: String,
     private val route: Route,
+    private val rank: Int,
     arrivedAt: Long,
     private val deadlineAt: Long,
     private val listener: TargetSearchListener,
@@ -134,7 +135,7 @@
         }
         when (val placement = serving.placement.place(now, adapter, reachable, tried)) {
             is Placement.Run -> {
-                serving.placement.copyTargetOrNull(now, adapter, reachable)?.let { serving.demand.requestAdapter(it, adapter) }
+                serving.placement.copyTargetOrNull(now, adapter, reachable)?.let { serving.demand.requestAdapter(it, adapter, rank) }
                 requestPermit(placement.target, adapter)
             }
 
@@ -208,7 +209,7 @@
             return choose()
         }
         waitFor(target.id, ADAPTER_REQUEST_INTERVAL_MS)
-        serving.demand.requestAdapter(target, adapter)
+        serving.demand.requestAdapter(target, adapter, rank)
     }
 
     /**
