--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterManager.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterManager.kt
@@ -116,14 +116,13 @@
         }
     }
 
-    /** Records the request of a call of [rank] for [adapter] on [targetId]; rank 0 is the most urgent. Returns false if this instance doesn't give orders to that target. */
+    /** Records the request of a call for [adapter] on [targetId]. Returns false if this instance doesn't give orders to that target. */
     fun requestAdapter(
         targetId: String,
         adapter: AdapterVersion,
-        rank: Int = 0,
     ): Boolean {
         val state = held[targetId] ?: return false
-        state.slots.request(adapter, scheduler.now(), rank)
+        state.slots.request(adapter, scheduler.now())
         sendNext(state)
         return true
     }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterSlots.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterSlots.kt
@@ -2,9 +2,6 @@
  * Tracks the adapter slots of one target on the instance that gives it orders. Every order carries the number of orders that the target is
  * expected to have accepted. An order whose answer was lost therefore either shows in that number or is refused once a later order has been
  * accepted. Until the outcome is known its slot counts as taken.
- *
- * While more adapters are requested than there are slots, those of more urgent calls are loaded first, and less urgent ones don't take the slots
- * that more urgent calls use. A request that waits becomes more urgent with time, so that none is passed over for good.
  */
 package io.skylarkstile.gateway.adapter
 
@@ -20,12 +17,6 @@
 /** Time after which a call's request for an adapter expires unless it is repeated, in milliseconds. */
 private const val REQUEST_TTL_MS = 400L
 
-/** Time after which a request that waits counts as one rank more urgent, in milliseconds. */
-private const val RANK_AGING_MS = 500L
-
-/** Time since its last use during which an adapter isn't unloaded for less urgent calls, in milliseconds. */
-private const val RANK_PROTECTION_MS = 2_000L
-
 /** Expected load time when the target held the adapter recently, and when it is read from the weight store, in milliseconds. */
 private const val WARM_LOAD_MS = 30L
 private const val COLD_LOAD_MS = 255L
@@ -71,21 +62,6 @@
         var readyAt: Long?,
         var usedAt: Long,
     ) {
-        /** Most urgent rank of the calls that used the adapter lately, or null if none has been recorded. */
-        private var rank: Int? = null
-
-        /** Records a use by a call of [rank]. */
-        fun use(
-            rank: Int,
-            now: Long,
-        ) {
-            this.rank = minOf(rank, rankOrNull(now) ?: rank)
-            usedAt = now
-        }
-
-        /** Returns the most urgent rank of recent uses, or null if there were none. */
-        fun rankOrNull(now: Long): Int? = rank?.takeIf { now - usedAt < RANK_PROTECTION_MS }
-
         /** Time from which the unload order may be sent or repeated; once this is set, no new calls are sent to the adapter. */
         var unloadAt: Long? = null
 
@@ -97,11 +73,7 @@
     private class AdapterRequest(
         val since: Long,
         var until: Long,
-        var rank: Int,
-    ) {
-        /** Returns the rank with the time of waiting taken into account. */
-        fun agedRank(now: Long): Long = rank - (now - since) / RANK_AGING_MS
-    }
+    )
 
     private val occupied = LinkedHashMap<AdapterVersion, Slot>()
     private val requests = LinkedHashMap<AdapterVersion, AdapterRequest>()
@@ -133,20 +105,17 @@
         .filterValues { it.unloadAt == null }
         .mapValues { (_, slot) -> slot.readyAt?.let { AdapterPhase.Loading(it) } ?: AdapterPhase.Present }
 
-    /** Records that a call of [rank] waits for [adapter] or starts to use it; rank 0 is the most urgent. */
+    /** Records that a call waits for [adapter] or starts to use it. */
     fun request(
         adapter: AdapterVersion,
         now: Long,
-        rank: Int = 0,
     ) {
         val slot = occupied[adapter]
         if (slot == null) {
-            val request = requests.getOrPut(adapter) { AdapterRequest(now, now, rank) }
-            request.until = now + REQUEST_TTL_MS
-            request.rank = minOf(request.rank, rank)
+            requests.getOrPut(adapter) { AdapterRequest(now, now) }.until = now + REQUEST_TTL_MS
             return
         }
-        slot.use(rank, now)
+        slot.usedAt = now
         if (!slot.isUnloading) slot.unloadAt = null
     }
 
@@ -191,20 +160,12 @@
         dueLoadCheckOrNull(now, isCurrent)?.let { return it }
         if (orders == null) return null
         dueUnloadOrNull(now, inUse)?.let { return it }
-        val wanted = mostUrgentRequestOrNull(now)
+        val wanted = requests.keys.maxByOrNull { popularity.rate("$it", now) }
         scheduleEviction(now, inUse, isCurrent, wanted)
         if (wanted == null || occupied.size >= capacity || occupied.values.count { it.readyAt != null } >= MAX_CONCURRENT_LOADS) return null
         return AdapterOrder.Load(wanted)
     }
 
-    /** Returns the most popular of the most urgent requests. Without different ranks, the time of waiting doesn't count. */
-    private fun mostUrgentRequestOrNull(now: Long): AdapterVersion? {
-        val mostUrgent = requests.values.minOfOrNull { it.rank } ?: return null
-        val rankOf = { request: AdapterRequest -> maxOf(mostUrgent.toLong(), request.agedRank(now)) }
-        val first = requests.values.minOf(rankOf)
-        return requests.filterValues { rankOf(it) == first }.keys.maxByOrNull { popularity.rate("$it", now) }
-    }
-
     private fun pendingUnloadOrNull() = occupied.entries.firstOrNull { it.value.isUnloading }
 
     private fun dueLoadCheckOrNull(
@@ -237,18 +198,16 @@
     ) {
         val free = capacity - occupied.size + occupied.values.count { it.unloadAt != null }
         if (free >= minOf(SPARE_SLOTS + requests.size, MAX_CONCURRENT_LOADS)) return
-        val request = wanted?.let(requests::getValue)
-        victimOrNull(now, inUse, isCurrent, request)?.let { occupied.getValue(it).unloadAt = now + UNLOAD_NOTICE_MS }
+        val since = wanted?.let { requests.getValue(it).since } ?: now
+        victimOrNull(now, inUse, isCurrent, since)?.let { occupied.getValue(it).unloadAt = now + UNLOAD_NOTICE_MS }
     }
 
     private fun victimOrNull(
         now: Long,
         inUse: (AdapterVersion) -> Boolean,
         isCurrent: (AdapterVersion) -> Boolean,
-        request: AdapterRequest?,
+        waitingSince: Long,
     ): AdapterVersion? {
-        val waitingSince = request?.since ?: now
-        val rank = request?.agedRank(now)
         // While all slots are in constant use, a rarely requested adapter would otherwise never be loaded.
         val minIdleMs = if (now - waitingSince < LONG_WAIT_MS) USE_REPORT_DELAY_MS else 0
         val idle =
@@ -257,7 +216,6 @@
                     slot.unloadAt == null &&
                     now - slot.usedAt >= minIdleMs &&
                     adapter !in requests &&
-                    !isKeptFrom(rank, slot, now) &&
                     !inUse(adapter)
             }
         val handles =
@@ -268,13 +226,6 @@
         return idle.keys.first { "$it" == victim }
     }
 
-    /** Returns whether [slot] isn't unloaded for a request of [rank], because more urgent calls use it. */
-    private fun isKeptFrom(
-        rank: Long?,
-        slot: Slot,
-        now: Long,
-    ): Boolean = rank != null && (slot.rankOrNull(now) ?: return false) < rank
-
     /** Applies the outcome of [order]. */
     fun applyOutcome(
         order: TargetOrder,
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/peer/PeerExchange.kt
@@ -217,7 +217,7 @@
         now: Long,
     ) {
         val adapter = AdapterVersion.parseOrNull(wish.adapter) ?: return
-        if (!adapterManager.requestAdapter(wish.target, adapter, wish.rank ?: 0) || groups.isDirect) return
+        if (!adapterManager.requestAdapter(wish.target, adapter) || groups.isDirect) return
         if (wish.isNewCall == true) popularity.record(wish.adapter, now)
         targetUpdates.recordWaiting(wish.target, sender, now)
     }
@@ -315,12 +315,11 @@
     override fun requestAdapter(
         target: TargetState,
         adapter: AdapterVersion,
-        rank: Int,
     ) {
-        if (adapterManager.requestAdapter(target.id, adapter, rank)) return
+        if (adapterManager.requestAdapter(target.id, adapter)) return
         val record = instanceSet.orderHolderOrNull(target.id)?.let(instanceSet.members::get) ?: return
         val isNewCall = !groups.isDirect && asked.remove("$adapter")
-        send(GatewayDatagram(sender = self.name, wish = AdapterWish(target.id, "$adapter", isNewCall, rank)), listOf(record.peers))
+        send(GatewayDatagram(sender = self.name, wish = AdapterWish(target.id, "$adapter", isNewCall)), listOf(record.peers))
     }
 
     override fun recordCall(adapter: AdapterVersion) {
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallRun.kt
@@ -62,9 +62,7 @@
     private var lostConnections = 0
     private val deadlineTimer = serving.scheduler.after(max(0, deadlineAt - DEADLINE_MARGIN_MS - arrivedAt)) { expire() }
 
-    /** Rank of the call; 0 is the most urgent. */
-    private val rank = admitted.workspace?.priority ?: route.priority
-    private val search = TargetSearch(serving, call, service, route, rank, arrivedAt, deadlineAt, SearchResult())
+    private val search = TargetSearch(serving, call, service, route, arrivedAt, deadlineAt, SearchResult())
 
     private inner class SearchResult : TargetSearchListener {
         override fun found(
@@ -139,7 +137,7 @@
             return giveUp("retry-allowance-used", OVERLOAD_RETRY_AFTER_MS)
         }
         // Reports the use to the target's holder at once: unloading an adapter that calls still use blocks the target's other orders.
-        if (adapter != null && adapter !in target.adapterCalls) serving.demand.requestAdapter(target, adapter, rank)
+        if (adapter != null && adapter !in target.adapterCalls) serving.demand.requestAdapter(target, adapter)
         val started = Attempt(target, adapter, now)
         attempt = started
         started.weight = weight
@@ -195,7 +193,7 @@
                 targetId = started.target.id,
                 workspace = admitted.workspace?.name,
                 remainingMs = remaining,
-                priority = rank.takeIf { hasEngine },
+                priority = (admitted.workspace?.priority ?: route.priority).takeIf { hasEngine },
                 adapterVersion = started.adapter?.version?.takeIf { call.adapter in serving.adapterVersions },
                 lastEventId = relay.lastEventId ?: call.lastEventId,
             )
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/RelayContext.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/RelayContext.kt
@@ -19,11 +19,10 @@
 
 /** Records which adapters calls wait for or use. */
 interface AdapterDemand {
-    /** Requests [adapter] on [target], because a call of [rank] waits for it or is the first to use it there; rank 0 is the most urgent. */
+    /** Requests [adapter] on [target], because a call waits for it or is the first to use it there. */
     fun requestAdapter(
         target: TargetState,
         adapter: AdapterVersion,
-        rank: Int,
     )
 
     /** Records that a call for [adapter] has arrived. */
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetSearch.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/TargetSearch.kt
@@ -70,7 +70,6 @@
     private val call: CallHead,
     private val service: String,
     private val route: Route,
-    private val rank: Int,
     arrivedAt: Long,
     private val deadlineAt: Long,
     private val listener: TargetSearchListener,
@@ -135,7 +134,7 @@
         }
         when (val placement = serving.placement.place(now, adapter, reachable, tried)) {
             is Placement.Run -> {
-                serving.placement.copyTargetOrNull(now, adapter, reachable)?.let { serving.demand.requestAdapter(it, adapter, rank) }
+                serving.placement.copyTargetOrNull(now, adapter, reachable)?.let { serving.demand.requestAdapter(it, adapter) }
                 requestPermit(placement.target, adapter)
             }
 
@@ -209,7 +208,7 @@
             return choose()
         }
         waitFor(target.id, ADAPTER_REQUEST_INTERVAL_MS)
-        serving.demand.requestAdapter(target, adapter, rank)
+        serving.demand.requestAdapter(target, adapter)
     }
 
     /**
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/relay/TargetSearchSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/relay/TargetSearchSpec.kt
@@ -129,7 +129,6 @@
     override fun requestAdapter(
         target: TargetState,
         adapter: AdapterVersion,
-        rank: Int,
     ) {
         requested.add(target.id)
     }
@@ -167,7 +166,7 @@
             BodyBudget(1_000_000),
             HeadBudget(1_000_000),
         ) { 0.5 }
-    private val search = TargetSearch(context, call(), "models", route("/", service = "models", timeoutMs = 5_000), 0, 0, 5_000, this)
+    private val search = TargetSearch(context, call(), "models", route("/", service = "models", timeoutMs = 5_000), 0, 5_000, this)
     val results = ArrayList<String>()
 
     private fun call() = CallHead(
