Shorten the time for which an unanswered order, or an adapter in use, holds up a target's loads

Loads fell from 214 a second to about 55 while orders stayed unanswered (305 of them), with 2 places free and 11 adapters requested at a target on average; and 1,786 orders to unload were accepted without being done, since calls still used the adapter.

Causes: a target takes one order at a time. One without an answer held the others up for 0.85 s, 0.5 s until it was given up and 0.35 s more until the report, although the report only has to be that much later than the order. And under shortage the least popular adapter was unloaded although it had been used just before; its target then takes no order until those calls have ended.

Ruled out: the order of the loads by rank, and a lack of places alone: places were free. Not ruled out: that most calls in vain would find no place with faster orders either.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterManager.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterManager.kt
@@ -18,7 +18,7 @@
 
 private val log = KotlinLogging.logger {}
 
-/** Delay of the report after an order of unknown outcome, in milliseconds: reports lag by some hundred milliseconds. */
+/** Time from an order of unknown outcome to the report, in milliseconds: reports lag by some hundred milliseconds. */
 private const val REPORT_DELAY_MS = 350L
 
 /** Length of the sliding window in which base model loads are limited to the rate of the weight store, in milliseconds. */
@@ -165,7 +165,7 @@
             ) { "order ended" }
             onOrder(outcome)
             state.slots.applyOutcome(next, outcome, scheduler.now())
-            if (state.slots.needsReport) scheduleReport(state) else state.reportNeededSince = null
+            if (state.slots.needsReport) scheduleReport(state, sentAt = now) else state.reportNeededSince = null
             publish(state)
             state.isBusy = false
             sendNext(state)
@@ -198,9 +198,13 @@
         state.slots.capacity = capacity
     }
 
-    private fun scheduleReport(state: HeldTargetState) {
+    /** Schedules the report that shows what became of an order of [sentAt]. The target's other orders wait for it. */
+    private fun scheduleReport(
+        state: HeldTargetState,
+        sentAt: Long,
+    ) {
         val now = scheduler.now()
-        state.reportAt = now + REPORT_DELAY_MS
+        state.reportAt = maxOf(now, sentAt + REPORT_DELAY_MS)
         if (state.reportNeededSince == null) state.reportNeededSince = now
     }
 
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterSlots.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/adapter/AdapterSlots.kt
@@ -208,16 +208,14 @@
         isCurrent: (AdapterVersion) -> Boolean,
         waitingSince: Long,
     ): AdapterVersion? {
-        // While all slots are in constant use, a rarely requested adapter would otherwise never be loaded.
-        val minIdleMs = if (now - waitingSince < LONG_WAIT_MS) USE_REPORT_DELAY_MS else 0
-        val idle =
+        val unused =
             occupied.filter { (adapter, slot) ->
-                slot.readyAt == null &&
-                    slot.unloadAt == null &&
-                    now - slot.usedAt >= minIdleMs &&
-                    adapter !in requests &&
-                    !inUse(adapter)
+                slot.readyAt == null && slot.unloadAt == null && adapter !in requests && !inUse(adapter)
             }
+        val longUnused = unused.filterValues { now - it.usedAt >= USE_REPORT_DELAY_MS }
+        // While all slots are in constant use, a rarely requested adapter would otherwise never be loaded. An adapter that was used just now
+        // may still be in use, and the target takes no other order until those calls have ended.
+        val idle = longUnused.ifEmpty { if (now - waitingSince < LONG_WAIT_MS) emptyMap() else unused }
         val handles =
             idle.map { (adapter, slot) ->
                 IdleHandle("$adapter", isCurrent(adapter), popularity.rate("$adapter", now), slot.usedAt)
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/adapter/AdapterManagerSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/adapter/AdapterManagerSpec.kt
@@ -7,6 +7,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import io.skylarkstile.core.placement.Popularity
@@ -24,12 +25,19 @@
 import io.skylarkstile.gateway.target.TargetTable
 import java.net.InetSocketAddress
 
+/** Time after which the client gives an order up that gets no answer, in milliseconds. */
+private const val ORDER_TIMEOUT_MS = 250L
+
 /** Targets that answer every order after 5 ms, and the number of orders in progress at each. */
 private class CountingTargetClient(
     private val scheduler: ManualScheduler,
     private val models: Set<String>,
 ) : TargetClient {
     val sent = ArrayList<Pair<String, TargetOrder>>()
+
+    /** Times of all orders, and the number of the next orders that get no answer. */
+    val sentAt = ArrayList<Long>()
+    var unanswered = 0
     val inProgress = HashMap<String, Int>()
     var maxInProgress = 0
     private val present = HashMap<String, HashSet<AdapterVersion>>()
@@ -48,6 +56,12 @@
         done: (OrderOutcome) -> Unit,
     ) {
         sent.add(target.id to order)
+        sentAt.add(scheduler.now())
+        if (unanswered > 0) {
+            unanswered--
+            scheduler.after(ORDER_TIMEOUT_MS) { done(OrderOutcome.Unknown) }
+            return
+        }
         maxInProgress = maxOf(maxInProgress, inProgress.merge(target.id, 1, Int::plus)!!)
         scheduler.after(5) {
             inProgress.merge(target.id, -1, Int::plus)
@@ -160,4 +174,17 @@
                     .toSet()
             first shouldHaveSize 2
         }
+
+        test("an order without an answer delays the target's next order no longer than its report needs") {
+            val fixture = Fixture(listOf("t"))
+            fixture.run(8_000)
+            fixture.client.unanswered = 1
+            fixture.adapterManager.requestAdapter("t", adapter("a"))
+            repeat(10) {
+                fixture.adapterManager.requestAdapter("t", adapter("b"))
+                fixture.run(100)
+            }
+            val (lost, next) = fixture.client.sentAt
+            (next - lost) shouldBeLessThanOrEqualTo 400L
+        }
     })
--- a/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/adapter/AdapterSlotsSpec.kt
+++ b/skylarkstile-gateway/src/test/kotlin/io/skylarkstile/gateway/adapter/AdapterSlotsSpec.kt
@@ -223,4 +223,17 @@
             slots.nextOrNull(1_000, null, inUse = { false }, isCurrent = { false }) shouldBe null
             slots.needsReport shouldBe true
         }
+
+        test("an adapter that was used just now keeps its slot while a more popular one has been unused for long") {
+            val popularity = Popularity()
+            repeat(5) { popularity.record("${adapter("popular")}", 100) }
+            val slots = AdapterSlots(2, popularity)
+            slots.report(TargetReport(0, setOf("base"), false, setOf(adapter("popular"), adapter("rare")), emptySet()), 0)
+            listOf(1_000L, 1_100L, 1_200L, 1_300L).forEach { now ->
+                slots.request(adapter("wanted"), now)
+                slots.request(adapter("rare"), now)
+            }
+            slots.nextOrNull(1_310, null, inUse = { false }, isCurrent = { true }) shouldBe null
+            slots.phases().keys shouldBe setOf(adapter("rare"))
+        }
     })
