Read evacuations as often as targets, and let members rely on views that are a little older

An aggregator waited 0.75 s in each watch of the evacuations, and a member took views of up to 2 s. News passes three messages of up to 0.35 s each, so members could find their views too old and read the store themselves, which costs calls. Now they are 0.5 s and 2.25 s at a bound of 5 s, about those of the targets. The bound itself doesn't depend on it: the last call is counted from the last view without the evacuation.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -82,8 +82,8 @@
  * The same for evacuations, as shares of the evacuation bound. Older views than the maximum would leave no time to close one target after the
  * other.
  */
-private const val EVACUATION_WAIT_SHARE = 0.15
-private const val EVACUATION_VIEW_AGE_SHARE = 0.4
+private const val EVACUATION_WAIT_SHARE = 0.1
+private const val EVACUATION_VIEW_AGE_SHARE = 0.45
 
 /** A target that is removed soon after an outage of the store gets no calls from this long before the drain bound on, in milliseconds. */
 private const val REMOVAL_MARGIN_MS = 300L
