--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/StoreListeners.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/StoreListeners.kt
@@ -219,15 +219,13 @@
         revision: Long,
     ) {
         if (!targets.evacuate(dataCentre, now, confirmedAt, boundMs)) return
-        val isKnown = dataCentres.isEmpty() || dataCentre in dataCentres
-        log.event(
-            if (isKnown) Level.INFO else Level.WARN,
-            "evacuation-begun",
-            "dataCentre" to dataCentre,
-            "revision" to revision,
-            "viewAgeMs" to confirmedAt?.let { now - it },
-            "isKnown" to isKnown,
-        ) { if (isKnown) "calls leave the data centre" else "no data centre has this name" }
+        val ageMs = confirmedAt?.let { now - it }
+        log.event(Level.INFO, "evacuation-begun", "dataCentre" to dataCentre, "revision" to revision, "viewAgeMs" to ageMs) {
+            "calls leave the data centre"
+        }
+        if (dataCentres.isNotEmpty() && dataCentre !in dataCentres) {
+            log.event(Level.WARN, "evacuation-unknown", "dataCentre" to dataCentre) { "no data centre has this name" }
+        }
     }
 
     private fun end(
