Let the limiter of connections follow their ends, and share the second try for memory

Both listeners added, closed and removed connections by the same lines; the limiter does it now. The try for memory that comes after a stalled request has been rejected stood three times in CallerConnection.

--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/http/ConnectionLimiter.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/http/ConnectionLimiter.kt
@@ -4,6 +4,8 @@
  */
 package io.skylarkstile.gateway.http
 
+import io.netty.channel.Channel
+
 /** One connection of a client. */
 internal interface LimitedConnection {
     /** True while a request of this connection runs; then it isn't closed for another one. */
@@ -28,15 +30,30 @@
     /** Number of open connections. */
     val size: Int get() = unproven.size + proven.size
 
-    /** Adds [connection] and closes another one if there are too many; returns false if all others run requests, and then it isn't added. */
-    fun tryAdd(connection: T): Boolean {
+    /**
+     * Adds [connection] until its [channel] is closed, and closes another one if there are too many. If all others run requests, closes [channel]
+     * and returns false.
+     */
+    fun tryAdd(
+        channel: Channel,
+        connection: T,
+    ): Boolean {
+        if (!makeRoom()) {
+            channel.close()
+            return false
+        }
+        unproven.add(connection)
+        channel.closeFuture().addListener { remove(connection) }
+        return true
+    }
+
+    private fun makeRoom(): Boolean {
         if (size >= maxConnections) {
             val evicted = unproven.firstOrNull { !it.isServing } ?: proven.firstOrNull { !it.isServing } ?: return false
             onEviction()
             remove(evicted)
             evicted.evict()
         }
-        unproven.add(connection)
         return true
     }
 
@@ -45,8 +62,7 @@
         if (unproven.remove(connection) || proven.remove(connection)) proven.add(connection)
     }
 
-    /** Removes [connection], which is closed. */
-    fun remove(connection: T) {
+    private fun remove(connection: T) {
         if (!unproven.remove(connection)) proven.remove(connection)
     }
 }
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/http/ControlServer.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/http/ControlServer.kt
@@ -69,11 +69,7 @@
             object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
                     val handler = ControlHandler(channel, limiter, answer)
-                    if (!limiter.tryAdd(handler)) {
-                        channel.close()
-                        return
-                    }
-                    channel.closeFuture().addListener { limiter.remove(handler) }
+                    if (!limiter.tryAdd(channel, handler)) return
                     channel.pipeline().addLast(handler.decoder, HttpResponseEncoder(), IdleStateHandler(0, 0, IDLE_S), handler)
                 }
             },
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/http/StrictRequestDecoder.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/http/StrictRequestDecoder.kt
@@ -45,7 +45,7 @@
     private var isTurnOver = false
 
     /** True if bytes have arrived that belong to no decoded request yet. */
-    val hasUnreadBytes: Boolean get() = actualReadableBytes() > 0
+    private val hasUnreadBytes: Boolean get() = actualReadableBytes() > 0
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         this.ctx = ctx
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/main/Gateway.kt
@@ -395,11 +395,7 @@
             object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
                     val connection = CallerConnection(serving, channel, callers)
-                    if (!callers.tryAdd(connection)) {
-                        channel.close()
-                        return
-                    }
-                    channel.closeFuture().addListener { callers.remove(connection) }
+                    if (!callers.tryAdd(channel, connection)) return
                     channel.pipeline().addLast(connection.decoder, HttpResponseEncoder(), connection)
                 }
             },
--- a/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
+++ b/skylarkstile-gateway/src/main/kotlin/io/skylarkstile/gateway/relay/CallerConnection.kt
@@ -129,7 +129,7 @@
         val length = HttpUtil.getContentLength(message, 0L)
         if (length > limits.bodyBytes) return reject(BODY_TOO_LARGE, "body too large")
         if (!tryReserveHead(message)) return refuseLargeHead(message)
-        if (!reserveBody(length)) return refuseBody(message, length)
+        if (!fits { body.tryReserve(length) }) return refuseBody(message, length)
         if (HttpUtil.is100ContinueExpected(
                 message,
             )
@@ -140,7 +140,7 @@
 
     private fun tryReserveHead(message: HttpRequest): Boolean {
         val bytes = headBytes(message)
-        if (!serving.heads.tryReserve(bytes) && !(serving.rejectStalled(this) && serving.heads.tryReserve(bytes))) return false
+        if (!fits { serving.heads.tryReserve(bytes) }) return false
         reservedHeadBytes = bytes
         return true
     }
@@ -154,8 +154,8 @@
         ctx.writeAndFlush(refusalOf(call, HEAD_RETRY_AFTER_MS)).addListener(ChannelFutureListener.CLOSE)
     }
 
-    /** Returns whether a body of [bytes] bytes in all can be held, if need be in place of one that has stalled. */
-    private fun reserveBody(bytes: Long): Boolean = body.tryReserve(bytes) || (serving.rejectStalled(this) && body.tryReserve(bytes))
+    /** Returns whether [reserve] finds memory, if need be in place of a request that has stalled. */
+    private inline fun fits(reserve: () -> Boolean): Boolean = reserve() || (serving.rejectStalled(this) && reserve())
 
     private fun append(part: HttpContent) {
         receivedAt = serving.scheduler.now()
@@ -163,13 +163,15 @@
         val data = part.content()
         if (body.size + data.readableBytes() > limits.bodyBytes) return reject(BODY_TOO_LARGE, "body too large")
         val message = request ?: return
-        if (!addToBody(data)) return refuseBody(message, (body.size + data.readableBytes()).toLong(), part is LastHttpContent)
+        if (!fits {
+                body.tryAdd(data, ctx.alloc())
+            }
+        ) {
+            return refuseBody(message, (body.size + data.readableBytes()).toLong(), part is LastHttpContent)
+        }
         if (part is LastHttpContent) dispatch()
     }
 
-    private fun addToBody(data: ByteBuf): Boolean =
-        body.tryAdd(data, ctx.alloc()) || (serving.rejectStalled(this) && body.tryAdd(data, ctx.alloc()))
-
     /** Refuses [message], whose body of [size] bytes can't be held, at once; [isRead] is true if it has no further part. */
     private fun refuseBody(
         message: HttpRequest,
