--- a/review/harness-2/Kit.java
+++ b/review/harness-2/Kit.java
@@ -273,12 +273,13 @@
     }
 
     // ---- gateway processes ----
-    static int freePort() throws IOException { try (ServerSocket s = new ServerSocket(0, 1, LOOPBACK)) { return s.getLocalPort(); } }
-    static int freeTcpAndUdpPort() throws IOException {
-        for (int i = 0; i < 50; i++) {
-            int port;
-            try (DatagramSocket d = new DatagramSocket(0, LOOPBACK)) { port = d.getLocalPort(); }
-            try (ServerSocket s = new ServerSocket(port, 1, LOOPBACK)) { return port; } catch (IOException e) { /* taken */ }
+    private static final Set<Integer> taken = new HashSet<>();
+    /** Returns a port that is free for TCP and UDP, below those that the system gives to outgoing connections. */
+    static synchronized int freePort() throws IOException {
+        for (int i = 0; i < 500; i++) {
+            int port = ThreadLocalRandom.current().nextInt(15_000, 32_000);
+            if (!taken.add(port)) continue;
+            try (ServerSocket s = new ServerSocket(port, 1, LOOPBACK); DatagramSocket d = new DatagramSocket(port, LOOPBACK)) { return port; } catch (IOException e) { /* taken */ }
         }
         throw new IOException("no free port");
     }
@@ -290,7 +291,7 @@
         Process process;
         Gateway(String name, Path folder, Store store, Map<String, String> overrides) throws IOException {
             this.name = name;
-            front = freePort(); ready = freePort(); registry = freePort(); peer = freeTcpAndUdpPort(); operator = freePort();
+            front = freePort(); ready = freePort(); registry = freePort(); peer = freePort(); operator = freePort();
             Map<String, String> v = new LinkedHashMap<>();
             v.put("NodeName", name); v.put("Role", "entry"); v.put("MachineClass", "frontend"); v.put("Serves", "frontend,registry");
             v.put("Ip", "127.0.0.1"); v.put("Zone", "z-1"); v.put("Region", "r-1"); v.put("Zones.z-1", "r-1");
