--- a/review/harness-2/Kit.java
+++ b/review/harness-2/Kit.java
@@ -305,6 +305,8 @@
             v.put("Platform.Address", store.server.address()); v.put("Platform.form", "objects"); v.put("Platform.WritesPerS", "400"); v.put("Platform.ReadsPerS", "2000");
             v.put("Platform.HistoryS", "20"); v.put("Platform.ValueBytes", "1048576"); v.put("Platform.TtlMinMs", "1000");
             v.putAll(overrides);
+            // Also when the driver itself is ended by a signal.
+            Runtime.getRuntime().addShutdownHook(new Thread(this::kill));
             settings = folder.resolve(name + ".conf");
             log = folder.resolve(name + ".log");
             List<String> text = new ArrayList<>();
