--- a/review/7/GoneReplica.java
+++ b/review/7/GoneReplica.java
@@ -106,13 +106,13 @@
             Map<String, AtomicInteger> outcomes = new ConcurrentHashMap<>();
             for (int i = 0; i < GATEWAYS; i++) {
                 int gateway = i + 1;
-                for (int c = 0; c < 2; c++) Kit.thread(() -> client(gateway, gateways.get(gateway - 1).front, stop, number, outcomes));
+                for (int c = 0; c < 6; c++) Kit.thread(() -> client(gateway, gateways.get(gateway - 1).front, stop, number, outcomes));
             }
             Kit.sleep(2_000);
             for (int round = 1; round <= ROUNDS; round++) {
                 StorePath path = paths.get(round - 1);
                 String id = "i-" + round;
-                Kit.sleep(new Random().nextInt(1_000));
+                Kit.sleep(new Random().nextInt(2_500));
                 Kit.note("frontend-" + round + " is partitioned from the store from here: " + Kit.TROUBLE);
                 path.isCut = Kit.TROUBLE;
                 Kit.sleep(CUT_MS - LEAVES_BEFORE_END_MS);
